--- a/Makefile
+++ b/Makefile
@@ -9,15 +9,16 @@
 OPT	= -O2 -g
 PKGS	= liburcu-bp liburcu-cds libprotobuf-c libmicrohttpd libcurl neon \
 	  jansson libcyaml libxxhash libsodium
-CPPFLAGS = -D_GNU_SOURCE -Isrc -Iproto -Istandin -Itest/fault \
+CPPFLAGS = -D_GNU_SOURCE -Isrc -Iproto -Iplatform -Istandin -Itest/fault \
 	  $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
-LDLIBS	= $(shell pkg-config --libs $(PKGS) 2>/dev/null) -llog4c -lm -lpthread
+LDLIBS	= $(shell pkg-config --libs $(PKGS) 2>/dev/null) -llog4c -lhttp_parser -lm -lpthread
 CFLAGS	= $(CSTD) $(WARN) $(OPT) $(SAN) -pthread -MMD -MP
 LDFLAGS	= $(SAN) -pthread
 B	= build$(VARIANT)
 
 # One module a pair x.c, x.h; daemon.c holds main() of the daemon.
 LIBSRC	= $(filter-out src/daemon.c,$(wildcard src/*.c)) proto/peer.pb-c.c
+PFSRC	= $(filter-out platform/main.c,$(wildcard platform/*.c))
 CTLSRC	= $(wildcard ctl/*.c)
 LOADSRC	= $(wildcard load/*.c)
 SIMSRC	= $(filter-out bench/policy.c bench/cost.c,$(wildcard bench/*.c))
@@ -27,7 +28,7 @@
 FAULTS	= $(patsubst test/fault/%.c,%,$(wildcard test/fault/fault_*.c))
 
 LIB	= $(B)/libmusher.a
-PROGS	= $(if $(wildcard src/daemon.c),$(B)/cardamomusherd) \
+PROGS	= $(B)/cardamomusher $(if $(wildcard src/daemon.c),$(B)/cardamomusherd) \
 	  $(if $(CTLSRC),$(B)/musherctl) $(if $(LOADSRC),$(B)/musherload) \
 	  $(foreach s,$(STANDINS),$(if $(wildcard standin/$(s).c),$(B)/standin-$(s))) \
 	  $(if $(wildcard bench/policy.c),$(B)/policy) \
@@ -47,6 +48,8 @@
 
 $(B)/cardamomusherd: $(B)/src/daemon.o $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+$(B)/cardamomusher: $(B)/platform/main.o $(call obj,$(PFSRC)) $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 $(B)/musherctl: $(call obj,$(CTLSRC)) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 $(B)/musherload: $(call obj,$(LOADSRC)) $(LIB)
@@ -63,11 +66,15 @@
 $(B)/fault_%: $(B)/test/fault/fault_%.o $(call obj,$(wildcard test/fault/proc*.c)) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ -lcmocka $(LDLIBS)
 
+# What deploy/system.toml builds: the daemon on the users' platform.
+platform:
+	$(MAKE) B=target target/cardamomusher
+
 .SECONDARY:
-.PHONY: all clean check demo deps fmt lint unit asan tsan fault bench spec fuzz
+.PHONY: platform all clean check demo deps fmt lint unit asan tsan fault bench spec fuzz
 
 DEPS	= build-essential pkg-config liburcu-dev libprotobuf-c-dev \
-	  libmicrohttpd-dev libcurl4-openssl-dev libneon27-dev liblog4c-dev \
+	  libmicrohttpd-dev libhttp-parser-dev libcurl4-openssl-dev libneon27-dev liblog4c-dev \
 	  libcmocka-dev \
 	  libcyaml-dev libjansson-dev libxxhash-dev libsodium-dev spin \
 	  gnuplot-nox libclang-rt-14-dev clang clang-format clang-tidy cppcheck \
@@ -75,7 +82,7 @@
 deps:
 	@./tools/deps $(DEPS)
 
-CSOURCES = $(wildcard src/*.[ch] ctl/*.[ch] standin/*.[ch] load/*.[ch] \
+CSOURCES = $(wildcard src/*.[ch] platform/*.[ch] ctl/*.[ch] standin/*.[ch] load/*.[ch] \
 	  bench/*.[ch] test/*.[ch] test/fault/*.[ch] fuzz/*.[ch])
 fmt:
 	clang-format -i $(CSOURCES)
@@ -116,6 +123,6 @@
 	@./tools/check
 
 clean:
-	rm -rf build build-asan build-tsan
+	rm -rf build build-asan build-tsan target
 
 -include $(shell find build* -name '*.d' 2>/dev/null)
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -322,809 +322,2704 @@
   assert(message->base.descriptor == &mu__config__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mu__endpoint_use__init
+                     (Mu__EndpointUse         *message)
+{
+  static const Mu__EndpointUse init_value = MU__ENDPOINT_USE__INIT;
+  *message = init_value;
+}
+size_t mu__endpoint_use__get_packed_size
+                     (const Mu__EndpointUse *message)
+{
+  assert(message->base.descriptor == &mu__endpoint_use__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mu__endpoint_use__pack
+                     (const Mu__EndpointUse *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mu__endpoint_use__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mu__endpoint_use__pack_to_buffer
+                     (const Mu__EndpointUse *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mu__endpoint_use__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mu__EndpointUse *
+       mu__endpoint_use__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mu__EndpointUse *)
+     protobuf_c_message_unpack (&mu__endpoint_use__descriptor,
+                                allocator, len, data);
+}
+void   mu__endpoint_use__free_unpacked
+                     (Mu__EndpointUse *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mu__endpoint_use__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mu__beat__init
+                     (Mu__Beat         *message)
+{
+  static const Mu__Beat init_value = MU__BEAT__INIT;
+  *message = init_value;
+}
+size_t mu__beat__get_packed_size
+                     (const Mu__Beat *message)
+{
+  assert(message->base.descriptor == &mu__beat__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mu__beat__pack
+                     (const Mu__Beat *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mu__beat__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mu__beat__pack_to_buffer
+                     (const Mu__Beat *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mu__beat__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mu__Beat *
+       mu__beat__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mu__Beat *)
+     protobuf_c_message_unpack (&mu__beat__descriptor,
+                                allocator, len, data);
+}
+void   mu__beat__free_unpacked
+                     (Mu__Beat *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mu__beat__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mu__begin__init
+                     (Mu__Begin         *message)
+{
+  static const Mu__Begin init_value = MU__BEGIN__INIT;
+  *message = init_value;
+}
+size_t mu__begin__get_packed_size
+                     (const Mu__Begin *message)
+{
+  assert(message->base.descriptor == &mu__begin__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mu__begin__pack
+                     (const Mu__Begin *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mu__begin__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mu__begin__pack_to_buffer
+                     (const Mu__Begin *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mu__begin__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mu__Begin *
+       mu__begin__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mu__Begin *)
+     protobuf_c_message_unpack (&mu__begin__descriptor,
+                                allocator, len, data);
+}
+void   mu__begin__free_unpacked
+                     (Mu__Begin *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mu__begin__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mu__granted__init
+                     (Mu__Granted         *message)
+{
+  static const Mu__Granted init_value = MU__GRANTED__INIT;
+  *message = init_value;
+}
+size_t mu__granted__get_packed_size
+                     (const Mu__Granted *message)
+{
+  assert(message->base.descriptor == &mu__granted__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mu__granted__pack
+                     (const Mu__Granted *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mu__granted__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mu__granted__pack_to_buffer
+                     (const Mu__Granted *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mu__granted__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mu__Granted *
+       mu__granted__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mu__Granted *)
+     protobuf_c_message_unpack (&mu__granted__descriptor,
+                                allocator, len, data);
+}
+void   mu__granted__free_unpacked
+                     (Mu__Granted *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mu__granted__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mu__settle__init
+                     (Mu__Settle         *message)
+{
+  static const Mu__Settle init_value = MU__SETTLE__INIT;
+  *message = init_value;
+}
+size_t mu__settle__get_packed_size
+                     (const Mu__Settle *message)
+{
+  assert(message->base.descriptor == &mu__settle__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mu__settle__pack
+                     (const Mu__Settle *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mu__settle__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mu__settle__pack_to_buffer
+                     (const Mu__Settle *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mu__settle__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mu__Settle *
+       mu__settle__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mu__Settle *)
+     protobuf_c_message_unpack (&mu__settle__descriptor,
+                                allocator, len, data);
+}
+void   mu__settle__free_unpacked
+                     (Mu__Settle *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mu__settle__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mu__relay__init
+                     (Mu__Relay         *message)
+{
+  static const Mu__Relay init_value = MU__RELAY__INIT;
+  *message = init_value;
+}
+size_t mu__relay__get_packed_size
+                     (const Mu__Relay *message)
+{
+  assert(message->base.descriptor == &mu__relay__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mu__relay__pack
+                     (const Mu__Relay *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mu__relay__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mu__relay__pack_to_buffer
+                     (const Mu__Relay *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mu__relay__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mu__Relay *
+       mu__relay__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mu__Relay *)
+     protobuf_c_message_unpack (&mu__relay__descriptor,
+                                allocator, len, data);
+}
+void   mu__relay__free_unpacked
+                     (Mu__Relay *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mu__relay__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mu__relayed__init
+                     (Mu__Relayed         *message)
+{
+  static const Mu__Relayed init_value = MU__RELAYED__INIT;
+  *message = init_value;
+}
+size_t mu__relayed__get_packed_size
+                     (const Mu__Relayed *message)
+{
+  assert(message->base.descriptor == &mu__relayed__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mu__relayed__pack
+                     (const Mu__Relayed *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mu__relayed__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mu__relayed__pack_to_buffer
+                     (const Mu__Relayed *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mu__relayed__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mu__Relayed *
+       mu__relayed__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mu__Relayed *)
+     protobuf_c_message_unpack (&mu__relayed__descriptor,
+                                allocator, len, data);
+}
+void   mu__relayed__free_unpacked
+                     (Mu__Relayed *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mu__relayed__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mu__store_row__init
+                     (Mu__StoreRow         *message)
+{
+  static const Mu__StoreRow init_value = MU__STORE_ROW__INIT;
+  *message = init_value;
+}
+size_t mu__store_row__get_packed_size
+                     (const Mu__StoreRow *message)
+{
+  assert(message->base.descriptor == &mu__store_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mu__store_row__pack
+                     (const Mu__StoreRow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mu__store_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mu__store_row__pack_to_buffer
+                     (const Mu__StoreRow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mu__store_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mu__StoreRow *
+       mu__store_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mu__StoreRow *)
+     protobuf_c_message_unpack (&mu__store_row__descriptor,
+                                allocator, len, data);
+}
+void   mu__store_row__free_unpacked
+                     (Mu__StoreRow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mu__store_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mu__store_op__init
+                     (Mu__StoreOp         *message)
+{
+  static const Mu__StoreOp init_value = MU__STORE_OP__INIT;
+  *message = init_value;
+}
+size_t mu__store_op__get_packed_size
+                     (const Mu__StoreOp *message)
+{
+  assert(message->base.descriptor == &mu__store_op__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mu__store_op__pack
+                     (const Mu__StoreOp *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mu__store_op__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mu__store_op__pack_to_buffer
+                     (const Mu__StoreOp *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mu__store_op__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mu__StoreOp *
+       mu__store_op__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mu__StoreOp *)
+     protobuf_c_message_unpack (&mu__store_op__descriptor,
+                                allocator, len, data);
+}
+void   mu__store_op__free_unpacked
+                     (Mu__StoreOp *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mu__store_op__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mu__store_result__init
+                     (Mu__StoreResult         *message)
+{
+  static const Mu__StoreResult init_value = MU__STORE_RESULT__INIT;
+  *message = init_value;
+}
+size_t mu__store_result__get_packed_size
+                     (const Mu__StoreResult *message)
+{
+  assert(message->base.descriptor == &mu__store_result__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mu__store_result__pack
+                     (const Mu__StoreResult *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mu__store_result__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mu__store_result__pack_to_buffer
+                     (const Mu__StoreResult *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mu__store_result__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mu__StoreResult *
+       mu__store_result__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mu__StoreResult *)
+     protobuf_c_message_unpack (&mu__store_result__descriptor,
+                                allocator, len, data);
+}
+void   mu__store_result__free_unpacked
+                     (Mu__StoreResult *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mu__store_result__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mu__daemon_row__init
+                     (Mu__DaemonRow         *message)
+{
+  static const Mu__DaemonRow init_value = MU__DAEMON_ROW__INIT;
+  *message = init_value;
+}
+size_t mu__daemon_row__get_packed_size
+                     (const Mu__DaemonRow *message)
+{
+  assert(message->base.descriptor == &mu__daemon_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mu__daemon_row__pack
+                     (const Mu__DaemonRow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mu__daemon_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mu__daemon_row__pack_to_buffer
+                     (const Mu__DaemonRow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mu__daemon_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mu__DaemonRow *
+       mu__daemon_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mu__DaemonRow *)
+     protobuf_c_message_unpack (&mu__daemon_row__descriptor,
+                                allocator, len, data);
+}
+void   mu__daemon_row__free_unpacked
+                     (Mu__DaemonRow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mu__daemon_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mu__ledger_row__init
+                     (Mu__LedgerRow         *message)
+{
+  static const Mu__LedgerRow init_value = MU__LEDGER_ROW__INIT;
+  *message = init_value;
+}
+size_t mu__ledger_row__get_packed_size
+                     (const Mu__LedgerRow *message)
+{
+  assert(message->base.descriptor == &mu__ledger_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mu__ledger_row__pack
+                     (const Mu__LedgerRow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mu__ledger_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mu__ledger_row__pack_to_buffer
+                     (const Mu__LedgerRow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mu__ledger_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mu__LedgerRow *
+       mu__ledger_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mu__LedgerRow *)
+     protobuf_c_message_unpack (&mu__ledger_row__descriptor,
+                                allocator, len, data);
+}
+void   mu__ledger_row__free_unpacked
+                     (Mu__LedgerRow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mu__ledger_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mu__turn_record__init
+                     (Mu__TurnRecord         *message)
+{
+  static const Mu__TurnRecord init_value = MU__TURN_RECORD__INIT;
+  *message = init_value;
+}
+size_t mu__turn_record__get_packed_size
+                     (const Mu__TurnRecord *message)
+{
+  assert(message->base.descriptor == &mu__turn_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mu__turn_record__pack
+                     (const Mu__TurnRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mu__turn_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mu__turn_record__pack_to_buffer
+                     (const Mu__TurnRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mu__turn_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mu__TurnRecord *
+       mu__turn_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mu__TurnRecord *)
+     protobuf_c_message_unpack (&mu__turn_record__descriptor,
+                                allocator, len, data);
+}
+void   mu__turn_record__free_unpacked
+                     (Mu__TurnRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mu__turn_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mu__turn_records__init
+                     (Mu__TurnRecords         *message)
+{
+  static const Mu__TurnRecords init_value = MU__TURN_RECORDS__INIT;
+  *message = init_value;
+}
+size_t mu__turn_records__get_packed_size
+                     (const Mu__TurnRecords *message)
+{
+  assert(message->base.descriptor == &mu__turn_records__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mu__turn_records__pack
+                     (const Mu__TurnRecords *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mu__turn_records__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mu__turn_records__pack_to_buffer
+                     (const Mu__TurnRecords *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mu__turn_records__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mu__TurnRecords *
+       mu__turn_records__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mu__TurnRecords *)
+     protobuf_c_message_unpack (&mu__turn_records__descriptor,
+                                allocator, len, data);
+}
+void   mu__turn_records__free_unpacked
+                     (Mu__TurnRecords *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mu__turn_records__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mu__frame__init
                      (Mu__Frame         *message)
 {
-  static const Mu__Frame init_value = MU__FRAME__INIT;
-  *message = init_value;
-}
-size_t mu__frame__get_packed_size
-                     (const Mu__Frame *message)
+  static const Mu__Frame init_value = MU__FRAME__INIT;
+  *message = init_value;
+}
+size_t mu__frame__get_packed_size
+                     (const Mu__Frame *message)
+{
+  assert(message->base.descriptor == &mu__frame__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mu__frame__pack
+                     (const Mu__Frame *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mu__frame__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mu__frame__pack_to_buffer
+                     (const Mu__Frame *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mu__frame__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mu__Frame *
+       mu__frame__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mu__Frame *)
+     protobuf_c_message_unpack (&mu__frame__descriptor,
+                                allocator, len, data);
+}
+void   mu__frame__free_unpacked
+                     (Mu__Frame *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mu__frame__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor mu__hello__field_descriptors[5] =
+{
+  {
+    "host",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Hello, host),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Hello, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Hello, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "nonce",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Hello, nonce),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "mac",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Hello, mac),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mu__hello__field_indices_by_name[] = {
+  2,   /* field[2] = config_version */
+  0,   /* field[0] = host */
+  1,   /* field[1] = incarnation */
+  4,   /* field[4] = mac */
+  3,   /* field[3] = nonce */
+};
+static const ProtobufCIntRange mu__hello__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor mu__hello__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mu.Hello",
+  "Hello",
+  "Mu__Hello",
+  "mu",
+  sizeof(Mu__Hello),
+  5,
+  mu__hello__field_descriptors,
+  mu__hello__field_indices_by_name,
+  1,  mu__hello__number_ranges,
+  (ProtobufCMessageInit) mu__hello__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mu__endpoint_load__field_descriptors[5] =
+{
+  {
+    "addr",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mu__EndpointLoad, addr),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mu__EndpointLoad, running),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queued",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mu__EndpointLoad, queued),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cache_used",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mu__EndpointLoad, cache_used),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mu__EndpointLoad, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mu__endpoint_load__field_indices_by_name[] = {
+  0,   /* field[0] = addr */
+  4,   /* field[4] = age_ms */
+  3,   /* field[3] = cache_used */
+  2,   /* field[2] = queued */
+  1,   /* field[1] = running */
+};
+static const ProtobufCIntRange mu__endpoint_load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor mu__endpoint_load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mu.EndpointLoad",
+  "EndpointLoad",
+  "Mu__EndpointLoad",
+  "mu",
+  sizeof(Mu__EndpointLoad),
+  5,
+  mu__endpoint_load__field_descriptors,
+  mu__endpoint_load__field_indices_by_name,
+  1,  mu__endpoint_load__number_ranges,
+  (ProtobufCMessageInit) mu__endpoint_load__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mu__heartbeat__field_descriptors[11] =
+{
+  {
+    "host",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Heartbeat, host),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seq",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Heartbeat, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Heartbeat, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Heartbeat, running),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queued",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Heartbeat, queued),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Heartbeat, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quarantined",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Mu__Heartbeat, n_quarantined),
+    offsetof(Mu__Heartbeat, quarantined),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "suspected",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Mu__Heartbeat, n_suspected),
+    offsetof(Mu__Heartbeat, suspected),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "loads",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mu__Heartbeat, n_loads),
+    offsetof(Mu__Heartbeat, loads),
+    &mu__endpoint_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "platform_ok",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Heartbeat, platform_ok),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "isolated",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Heartbeat, isolated),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mu__heartbeat__field_indices_by_name[] = {
+  2,   /* field[2] = config_version */
+  0,   /* field[0] = host */
+  10,   /* field[10] = isolated */
+  5,   /* field[5] = leaving */
+  8,   /* field[8] = loads */
+  9,   /* field[9] = platform_ok */
+  6,   /* field[6] = quarantined */
+  4,   /* field[4] = queued */
+  3,   /* field[3] = running */
+  1,   /* field[1] = seq */
+  7,   /* field[7] = suspected */
+};
+static const ProtobufCIntRange mu__heartbeat__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 11 }
+};
+const ProtobufCMessageDescriptor mu__heartbeat__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mu.Heartbeat",
+  "Heartbeat",
+  "Mu__Heartbeat",
+  "mu",
+  sizeof(Mu__Heartbeat),
+  11,
+  mu__heartbeat__field_descriptors,
+  mu__heartbeat__field_indices_by_name,
+  1,  mu__heartbeat__number_ranges,
+  (ProtobufCMessageInit) mu__heartbeat__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCEnumValue mu__forward__kind__enum_values_by_number[6] =
+{
+  { "CREATE", "MU__FORWARD__KIND__CREATE", 0 },
+  { "CALL", "MU__FORWARD__KIND__CALL", 1 },
+  { "GET_CALL", "MU__FORWARD__KIND__GET_CALL", 2 },
+  { "GET_PROGRAM", "MU__FORWARD__KIND__GET_PROGRAM", 3 },
+  { "END", "MU__FORWARD__KIND__END", 4 },
+  { "EXPLAIN", "MU__FORWARD__KIND__EXPLAIN", 5 },
+};
+static const ProtobufCIntRange mu__forward__kind__value_ranges[] = {
+{0, 0},{0, 6}
+};
+static const ProtobufCEnumValueIndex mu__forward__kind__enum_values_by_name[6] =
+{
+  { "CALL", 1 },
+  { "CREATE", 0 },
+  { "END", 4 },
+  { "EXPLAIN", 5 },
+  { "GET_CALL", 2 },
+  { "GET_PROGRAM", 3 },
+};
+const ProtobufCEnumDescriptor mu__forward__kind__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "mu.Forward.Kind",
+  "Kind",
+  "Mu__Forward__Kind",
+  "mu",
+  6,
+  mu__forward__kind__enum_values_by_number,
+  6,
+  mu__forward__kind__enum_values_by_name,
+  1,
+  mu__forward__kind__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
+static const ProtobufCFieldDescriptor mu__forward__field_descriptors[10] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Forward, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Forward, kind),
+    &mu__forward__kind__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "caller",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Forward, caller),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "program",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Forward, program),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seq",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Forward, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Forward, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stream",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Forward, stream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "deadline_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Forward, deadline_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hops",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Forward, hops),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Forward, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mu__forward__field_indices_by_name[] = {
+  5,   /* field[5] = body */
+  2,   /* field[2] = caller */
+  7,   /* field[7] = deadline_ms */
+  8,   /* field[8] = hops */
+  0,   /* field[0] = id */
+  1,   /* field[1] = kind */
+  3,   /* field[3] = program */
+  9,   /* field[9] = request */
+  4,   /* field[4] = seq */
+  6,   /* field[6] = stream */
+};
+static const ProtobufCIntRange mu__forward__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor mu__forward__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mu.Forward",
+  "Forward",
+  "Mu__Forward",
+  "mu",
+  sizeof(Mu__Forward),
+  10,
+  mu__forward__field_descriptors,
+  mu__forward__field_indices_by_name,
+  1,  mu__forward__number_ranges,
+  (ProtobufCMessageInit) mu__forward__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mu__chunk__field_descriptors[3] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Chunk, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "offset",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Chunk, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Chunk, data),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mu__chunk__field_indices_by_name[] = {
+  2,   /* field[2] = data */
+  0,   /* field[0] = id */
+  1,   /* field[1] = offset */
+};
+static const ProtobufCIntRange mu__chunk__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor mu__chunk__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mu.Chunk",
+  "Chunk",
+  "Mu__Chunk",
+  "mu",
+  sizeof(Mu__Chunk),
+  3,
+  mu__chunk__field_descriptors,
+  mu__chunk__field_indices_by_name,
+  1,  mu__chunk__number_ranges,
+  (ProtobufCMessageInit) mu__chunk__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mu__result__field_descriptors[6] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Result, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "status",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Result, status),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Result, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Result, retry_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "streamed",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Result, streamed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "not_owner",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Result, not_owner),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mu__result__field_indices_by_name[] = {
+  2,   /* field[2] = body */
+  0,   /* field[0] = id */
+  5,   /* field[5] = not_owner */
+  3,   /* field[3] = retry_after_ms */
+  1,   /* field[1] = status */
+  4,   /* field[4] = streamed */
+};
+static const ProtobufCIntRange mu__result__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor mu__result__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mu.Result",
+  "Result",
+  "Mu__Result",
+  "mu",
+  sizeof(Mu__Result),
+  6,
+  mu__result__field_descriptors,
+  mu__result__field_indices_by_name,
+  1,  mu__result__number_ranges,
+  (ProtobufCMessageInit) mu__result__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mu__config__field_descriptors[2] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Config, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "text",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Config, text),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mu__config__field_indices_by_name[] = {
+  1,   /* field[1] = text */
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange mu__config__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor mu__config__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mu.Config",
+  "Config",
+  "Mu__Config",
+  "mu",
+  sizeof(Mu__Config),
+  2,
+  mu__config__field_descriptors,
+  mu__config__field_indices_by_name,
+  1,  mu__config__number_ranges,
+  (ProtobufCMessageInit) mu__config__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mu__endpoint_use__field_descriptors[2] =
+{
+  {
+    "endpoint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mu__EndpointUse, endpoint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mu__EndpointUse, sent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mu__endpoint_use__field_indices_by_name[] = {
+  0,   /* field[0] = endpoint */
+  1,   /* field[1] = sent */
+};
+static const ProtobufCIntRange mu__endpoint_use__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor mu__endpoint_use__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mu.EndpointUse",
+  "EndpointUse",
+  "Mu__EndpointUse",
+  "mu",
+  sizeof(Mu__EndpointUse),
+  2,
+  mu__endpoint_use__field_descriptors,
+  mu__endpoint_use__field_indices_by_name,
+  1,  mu__endpoint_use__number_ranges,
+  (ProtobufCMessageInit) mu__endpoint_use__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mu__beat__field_descriptors[7] =
+{
+  {
+    "host",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Beat, host),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Beat, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Beat, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ready",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Beat, ready),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_version",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Beat, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "store_ok",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Beat, store_ok),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "uses",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mu__Beat, n_uses),
+    offsetof(Mu__Beat, uses),
+    &mu__endpoint_use__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mu__beat__field_indices_by_name[] = {
+  4,   /* field[4] = config_version */
+  0,   /* field[0] = host */
+  1,   /* field[1] = incarnation */
+  2,   /* field[2] = leaving */
+  3,   /* field[3] = ready */
+  5,   /* field[5] = store_ok */
+  6,   /* field[6] = uses */
+};
+static const ProtobufCIntRange mu__beat__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor mu__beat__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mu.Beat",
+  "Beat",
+  "Mu__Beat",
+  "mu",
+  sizeof(Mu__Beat),
+  7,
+  mu__beat__field_descriptors,
+  mu__beat__field_indices_by_name,
+  1,  mu__beat__number_ranges,
+  (ProtobufCMessageInit) mu__beat__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mu__begin__field_descriptors[7] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Begin, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "program",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Begin, program),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "budget",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Begin, budget),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "most",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Begin, most),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "turn",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Begin, turn),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "previous",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Begin, previous),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "need_history",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Begin, need_history),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mu__begin__field_indices_by_name[] = {
+  2,   /* field[2] = budget */
+  0,   /* field[0] = id */
+  3,   /* field[3] = most */
+  6,   /* field[6] = need_history */
+  5,   /* field[5] = previous */
+  1,   /* field[1] = program */
+  4,   /* field[4] = turn */
+};
+static const ProtobufCIntRange mu__begin__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor mu__begin__descriptor =
 {
-  assert(message->base.descriptor == &mu__frame__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
-}
-size_t mu__frame__pack
-                     (const Mu__Frame *message,
-                      uint8_t       *out)
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mu.Begin",
+  "Begin",
+  "Mu__Begin",
+  "mu",
+  sizeof(Mu__Begin),
+  7,
+  mu__begin__field_descriptors,
+  mu__begin__field_indices_by_name,
+  1,  mu__begin__number_ranges,
+  (ProtobufCMessageInit) mu__begin__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCEnumValue mu__granted__status__enum_values_by_number[3] =
 {
-  assert(message->base.descriptor == &mu__frame__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
-}
-size_t mu__frame__pack_to_buffer
-                     (const Mu__Frame *message,
-                      ProtobufCBuffer *buffer)
+  { "OK", "MU__GRANTED__STATUS__OK", 0 },
+  { "EXHAUSTED", "MU__GRANTED__STATUS__EXHAUSTED", 1 },
+  { "UNAVAILABLE", "MU__GRANTED__STATUS__UNAVAILABLE", 2 },
+};
+static const ProtobufCIntRange mu__granted__status__value_ranges[] = {
+{0, 0},{0, 3}
+};
+static const ProtobufCEnumValueIndex mu__granted__status__enum_values_by_name[3] =
 {
-  assert(message->base.descriptor == &mu__frame__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
-}
-Mu__Frame *
-       mu__frame__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+  { "EXHAUSTED", 1 },
+  { "OK", 0 },
+  { "UNAVAILABLE", 2 },
+};
+const ProtobufCEnumDescriptor mu__granted__status__descriptor =
 {
-  return (Mu__Frame *)
-     protobuf_c_message_unpack (&mu__frame__descriptor,
-                                allocator, len, data);
-}
-void   mu__frame__free_unpacked
-                     (Mu__Frame *message,
-                      ProtobufCAllocator *allocator)
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "mu.Granted.Status",
+  "Status",
+  "Mu__Granted__Status",
+  "mu",
+  3,
+  mu__granted__status__enum_values_by_number,
+  3,
+  mu__granted__status__enum_values_by_name,
+  1,
+  mu__granted__status__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
+static const ProtobufCFieldDescriptor mu__granted__field_descriptors[3] =
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &mu__frame__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
-static const ProtobufCFieldDescriptor mu__hello__field_descriptors[5] =
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Granted, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "status",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Granted, status),
+    &mu__granted__status__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "history",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Granted, history),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mu__granted__field_indices_by_name[] = {
+  2,   /* field[2] = history */
+  0,   /* field[0] = id */
+  1,   /* field[1] = status */
+};
+static const ProtobufCIntRange mu__granted__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor mu__granted__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mu.Granted",
+  "Granted",
+  "Mu__Granted",
+  "mu",
+  sizeof(Mu__Granted),
+  3,
+  mu__granted__field_descriptors,
+  mu__granted__field_indices_by_name,
+  1,  mu__granted__number_ranges,
+  (ProtobufCMessageInit) mu__granted__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mu__settle__field_descriptors[5] =
 {
   {
-    "host",
+    "program",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Mu__Hello, host),
+    offsetof(Mu__Settle, program),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "incarnation",
+    "turn",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Mu__Hello, incarnation),
-    NULL,
+    offsetof(Mu__Settle, turn),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "config_version",
+    "used",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Mu__Hello, config_version),
+    offsetof(Mu__Settle, used),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "nonce",
+    "record",
     4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Mu__Hello, nonce),
+    offsetof(Mu__Settle, record),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "mac",
+    "most",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Mu__Hello, mac),
+    offsetof(Mu__Settle, most),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned mu__hello__field_indices_by_name[] = {
-  2,   /* field[2] = config_version */
-  0,   /* field[0] = host */
-  1,   /* field[1] = incarnation */
-  4,   /* field[4] = mac */
-  3,   /* field[3] = nonce */
+static const unsigned mu__settle__field_indices_by_name[] = {
+  4,   /* field[4] = most */
+  0,   /* field[0] = program */
+  3,   /* field[3] = record */
+  1,   /* field[1] = turn */
+  2,   /* field[2] = used */
 };
-static const ProtobufCIntRange mu__hello__number_ranges[1 + 1] =
+static const ProtobufCIntRange mu__settle__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 5 }
 };
-const ProtobufCMessageDescriptor mu__hello__descriptor =
+const ProtobufCMessageDescriptor mu__settle__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mu.Settle",
+  "Settle",
+  "Mu__Settle",
+  "mu",
+  sizeof(Mu__Settle),
+  5,
+  mu__settle__field_descriptors,
+  mu__settle__field_indices_by_name,
+  1,  mu__settle__number_ranges,
+  (ProtobufCMessageInit) mu__settle__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mu__relay__field_descriptors[2] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Relay, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "op",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Relay, op),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mu__relay__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+  1,   /* field[1] = op */
+};
+static const ProtobufCIntRange mu__relay__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor mu__relay__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mu.Relay",
+  "Relay",
+  "Mu__Relay",
+  "mu",
+  sizeof(Mu__Relay),
+  2,
+  mu__relay__field_descriptors,
+  mu__relay__field_indices_by_name,
+  1,  mu__relay__number_ranges,
+  (ProtobufCMessageInit) mu__relay__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mu__relayed__field_descriptors[2] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Relayed, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "result",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Relayed, result),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mu__relayed__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+  1,   /* field[1] = result */
+};
+static const ProtobufCIntRange mu__relayed__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor mu__relayed__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "mu.Hello",
-  "Hello",
-  "Mu__Hello",
+  "mu.Relayed",
+  "Relayed",
+  "Mu__Relayed",
   "mu",
-  sizeof(Mu__Hello),
-  5,
-  mu__hello__field_descriptors,
-  mu__hello__field_indices_by_name,
-  1,  mu__hello__number_ranges,
-  (ProtobufCMessageInit) mu__hello__init,
+  sizeof(Mu__Relayed),
+  2,
+  mu__relayed__field_descriptors,
+  mu__relayed__field_indices_by_name,
+  1,  mu__relayed__number_ranges,
+  (ProtobufCMessageInit) mu__relayed__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mu__endpoint_load__field_descriptors[5] =
+static const ProtobufCFieldDescriptor mu__store_row__field_descriptors[6] =
 {
   {
-    "addr",
+    "table",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Mu__EndpointLoad, addr),
+    offsetof(Mu__StoreRow, table),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "running",
+    "part",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Mu__EndpointLoad, running),
-    NULL,
+    offsetof(Mu__StoreRow, part),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "queued",
+    "key",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Mu__EndpointLoad, queued),
-    NULL,
+    offsetof(Mu__StoreRow, key),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "cache_used",
+    "value",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Mu__EndpointLoad, cache_used),
+    offsetof(Mu__StoreRow, value),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "age_ms",
+    "ver",
     5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Mu__EndpointLoad, age_ms),
+    offsetof(Mu__StoreRow, ver),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "removed",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mu__StoreRow, removed),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned mu__endpoint_load__field_indices_by_name[] = {
-  0,   /* field[0] = addr */
-  4,   /* field[4] = age_ms */
-  3,   /* field[3] = cache_used */
-  2,   /* field[2] = queued */
-  1,   /* field[1] = running */
+static const unsigned mu__store_row__field_indices_by_name[] = {
+  2,   /* field[2] = key */
+  1,   /* field[1] = part */
+  5,   /* field[5] = removed */
+  0,   /* field[0] = table */
+  3,   /* field[3] = value */
+  4,   /* field[4] = ver */
 };
-static const ProtobufCIntRange mu__endpoint_load__number_ranges[1 + 1] =
+static const ProtobufCIntRange mu__store_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
-const ProtobufCMessageDescriptor mu__endpoint_load__descriptor =
+const ProtobufCMessageDescriptor mu__store_row__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "mu.EndpointLoad",
-  "EndpointLoad",
-  "Mu__EndpointLoad",
+  "mu.StoreRow",
+  "StoreRow",
+  "Mu__StoreRow",
   "mu",
-  sizeof(Mu__EndpointLoad),
-  5,
-  mu__endpoint_load__field_descriptors,
-  mu__endpoint_load__field_indices_by_name,
-  1,  mu__endpoint_load__number_ranges,
-  (ProtobufCMessageInit) mu__endpoint_load__init,
+  sizeof(Mu__StoreRow),
+  6,
+  mu__store_row__field_descriptors,
+  mu__store_row__field_indices_by_name,
+  1,  mu__store_row__number_ranges,
+  (ProtobufCMessageInit) mu__store_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mu__heartbeat__field_descriptors[11] =
+static const ProtobufCEnumValue mu__store_op__kind__enum_values_by_number[3] =
+{
+  { "WRITE", "MU__STORE_OP__KIND__WRITE", 0 },
+  { "READ", "MU__STORE_OP__KIND__READ", 1 },
+  { "FEED", "MU__STORE_OP__KIND__FEED", 2 },
+};
+static const ProtobufCIntRange mu__store_op__kind__value_ranges[] = {
+{0, 0},{0, 3}
+};
+static const ProtobufCEnumValueIndex mu__store_op__kind__enum_values_by_name[3] =
+{
+  { "FEED", 2 },
+  { "READ", 1 },
+  { "WRITE", 0 },
+};
+const ProtobufCEnumDescriptor mu__store_op__kind__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "mu.StoreOp.Kind",
+  "Kind",
+  "Mu__StoreOp__Kind",
+  "mu",
+  3,
+  mu__store_op__kind__enum_values_by_number,
+  3,
+  mu__store_op__kind__enum_values_by_name,
+  1,
+  mu__store_op__kind__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
+static const ProtobufCFieldDescriptor mu__store_op__field_descriptors[11] =
 {
   {
-    "host",
+    "kind",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Mu__Heartbeat, host),
+    offsetof(Mu__StoreOp, kind),
+    &mu__store_op__kind__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "seq",
+    "expected",
     2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Mu__Heartbeat, seq),
-    NULL,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mu__StoreOp, n_expected),
+    offsetof(Mu__StoreOp, expected),
+    &mu__store_row__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "config_version",
+    "put",
     3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Mu__Heartbeat, config_version),
-    NULL,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mu__StoreOp, n_put),
+    offsetof(Mu__StoreOp, put),
+    &mu__store_row__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "running",
+    "remove",
     4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Mu__Heartbeat, running),
-    NULL,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mu__StoreOp, n_remove),
+    offsetof(Mu__StoreOp, remove),
+    &mu__store_row__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "queued",
+    "table",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Mu__Heartbeat, queued),
-    NULL,
+    offsetof(Mu__StoreOp, table),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "leaving",
+    "part",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Mu__Heartbeat, leaving),
-    NULL,
+    offsetof(Mu__StoreOp, part),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "quarantined",
+    "from",
     7,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_FIXED64,
-    offsetof(Mu__Heartbeat, n_quarantined),
-    offsetof(Mu__Heartbeat, quarantined),
-    NULL,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mu__StoreOp, from),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "suspected",
+    "to",
     8,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_FIXED64,
-    offsetof(Mu__Heartbeat, n_suspected),
-    offsetof(Mu__Heartbeat, suspected),
-    NULL,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mu__StoreOp, to),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "loads",
+    "limit",
     9,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Mu__Heartbeat, n_loads),
-    offsetof(Mu__Heartbeat, loads),
-    &mu__endpoint_load__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mu__StoreOp, limit),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "platform_ok",
+    "after",
     10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Mu__Heartbeat, platform_ok),
+    offsetof(Mu__StoreOp, after),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "isolated",
+    "wait_ms",
     11,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Mu__Heartbeat, isolated),
+    offsetof(Mu__StoreOp, wait_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned mu__heartbeat__field_indices_by_name[] = {
-  2,   /* field[2] = config_version */
-  0,   /* field[0] = host */
-  10,   /* field[10] = isolated */
-  5,   /* field[5] = leaving */
-  8,   /* field[8] = loads */
-  9,   /* field[9] = platform_ok */
-  6,   /* field[6] = quarantined */
-  4,   /* field[4] = queued */
-  3,   /* field[3] = running */
-  1,   /* field[1] = seq */
-  7,   /* field[7] = suspected */
+static const unsigned mu__store_op__field_indices_by_name[] = {
+  9,   /* field[9] = after */
+  1,   /* field[1] = expected */
+  6,   /* field[6] = from */
+  0,   /* field[0] = kind */
+  8,   /* field[8] = limit */
+  5,   /* field[5] = part */
+  2,   /* field[2] = put */
+  3,   /* field[3] = remove */
+  4,   /* field[4] = table */
+  7,   /* field[7] = to */
+  10,   /* field[10] = wait_ms */
 };
-static const ProtobufCIntRange mu__heartbeat__number_ranges[1 + 1] =
+static const ProtobufCIntRange mu__store_op__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 11 }
 };
-const ProtobufCMessageDescriptor mu__heartbeat__descriptor =
+const ProtobufCMessageDescriptor mu__store_op__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "mu.Heartbeat",
-  "Heartbeat",
-  "Mu__Heartbeat",
+  "mu.StoreOp",
+  "StoreOp",
+  "Mu__StoreOp",
   "mu",
-  sizeof(Mu__Heartbeat),
+  sizeof(Mu__StoreOp),
   11,
-  mu__heartbeat__field_descriptors,
-  mu__heartbeat__field_indices_by_name,
-  1,  mu__heartbeat__number_ranges,
-  (ProtobufCMessageInit) mu__heartbeat__init,
+  mu__store_op__field_descriptors,
+  mu__store_op__field_indices_by_name,
+  1,  mu__store_op__number_ranges,
+  (ProtobufCMessageInit) mu__store_op__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue mu__forward__kind__enum_values_by_number[6] =
-{
-  { "CREATE", "MU__FORWARD__KIND__CREATE", 0 },
-  { "CALL", "MU__FORWARD__KIND__CALL", 1 },
-  { "GET_CALL", "MU__FORWARD__KIND__GET_CALL", 2 },
-  { "GET_PROGRAM", "MU__FORWARD__KIND__GET_PROGRAM", 3 },
-  { "END", "MU__FORWARD__KIND__END", 4 },
-  { "EXPLAIN", "MU__FORWARD__KIND__EXPLAIN", 5 },
+static const ProtobufCEnumValue mu__store_result__status__enum_values_by_number[6] =
+{
+  { "DONE", "MU__STORE_RESULT__STATUS__DONE", 0 },
+  { "CONFLICT", "MU__STORE_RESULT__STATUS__CONFLICT", 1 },
+  { "REFUSED", "MU__STORE_RESULT__STATUS__REFUSED", 2 },
+  { "UNKNOWN", "MU__STORE_RESULT__STATUS__UNKNOWN", 3 },
+  { "HISTORY_GONE", "MU__STORE_RESULT__STATUS__HISTORY_GONE", 4 },
+  { "INVALID", "MU__STORE_RESULT__STATUS__INVALID", 5 },
 };
-static const ProtobufCIntRange mu__forward__kind__value_ranges[] = {
+static const ProtobufCIntRange mu__store_result__status__value_ranges[] = {
 {0, 0},{0, 6}
 };
-static const ProtobufCEnumValueIndex mu__forward__kind__enum_values_by_name[6] =
-{
-  { "CALL", 1 },
-  { "CREATE", 0 },
-  { "END", 4 },
-  { "EXPLAIN", 5 },
-  { "GET_CALL", 2 },
-  { "GET_PROGRAM", 3 },
+static const ProtobufCEnumValueIndex mu__store_result__status__enum_values_by_name[6] =
+{
+  { "CONFLICT", 1 },
+  { "DONE", 0 },
+  { "HISTORY_GONE", 4 },
+  { "INVALID", 5 },
+  { "REFUSED", 2 },
+  { "UNKNOWN", 3 },
 };
-const ProtobufCEnumDescriptor mu__forward__kind__descriptor =
+const ProtobufCEnumDescriptor mu__store_result__status__descriptor =
 {
   PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
-  "mu.Forward.Kind",
-  "Kind",
-  "Mu__Forward__Kind",
+  "mu.StoreResult.Status",
+  "Status",
+  "Mu__StoreResult__Status",
   "mu",
   6,
-  mu__forward__kind__enum_values_by_number,
+  mu__store_result__status__enum_values_by_number,
   6,
-  mu__forward__kind__enum_values_by_name,
+  mu__store_result__status__enum_values_by_name,
   1,
-  mu__forward__kind__value_ranges,
+  mu__store_result__status__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor mu__forward__field_descriptors[10] =
+static const ProtobufCFieldDescriptor mu__store_result__field_descriptors[4] =
 {
   {
-    "id",
+    "status",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Mu__Forward, id),
-    NULL,
+    offsetof(Mu__StoreResult, status),
+    &mu__store_result__status__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "kind",
+    "rows",
     2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_ENUM,
-    0,   /* quantifier_offset */
-    offsetof(Mu__Forward, kind),
-    &mu__forward__kind__descriptor,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mu__StoreResult, n_rows),
+    offsetof(Mu__StoreResult, rows),
+    &mu__store_row__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "caller",
+    "more",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Mu__Forward, caller),
+    offsetof(Mu__StoreResult, more),
     NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "program",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Mu__Forward, program),
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "seq",
-    5,
+    "ver",
+    4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Mu__Forward, seq),
+    offsetof(Mu__StoreResult, ver),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned mu__store_result__field_indices_by_name[] = {
+  2,   /* field[2] = more */
+  1,   /* field[1] = rows */
+  0,   /* field[0] = status */
+  3,   /* field[3] = ver */
+};
+static const ProtobufCIntRange mu__store_result__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor mu__store_result__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mu.StoreResult",
+  "StoreResult",
+  "Mu__StoreResult",
+  "mu",
+  sizeof(Mu__StoreResult),
+  4,
+  mu__store_result__field_descriptors,
+  mu__store_result__field_indices_by_name,
+  1,  mu__store_result__number_ranges,
+  (ProtobufCMessageInit) mu__store_result__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mu__daemon_row__field_descriptors[5] =
+{
   {
-    "body",
-    6,
+    "host",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Mu__Forward, body),
-    NULL,
+    offsetof(Mu__DaemonRow, host),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "stream",
-    7,
+    "incarnation",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Mu__Forward, stream),
+    offsetof(Mu__DaemonRow, incarnation),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "deadline_ms",
-    8,
+    "domain",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Mu__Forward, deadline_ms),
-    NULL,
+    offsetof(Mu__DaemonRow, domain),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "hops",
-    9,
+    "mesh_addr",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Mu__Forward, hops),
-    NULL,
+    offsetof(Mu__DaemonRow, mesh_addr),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "request",
-    10,
+    "caller_addr",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Mu__Forward, request),
-    NULL,
+    offsetof(Mu__DaemonRow, caller_addr),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned mu__forward__field_indices_by_name[] = {
-  5,   /* field[5] = body */
-  2,   /* field[2] = caller */
-  7,   /* field[7] = deadline_ms */
-  8,   /* field[8] = hops */
-  0,   /* field[0] = id */
-  1,   /* field[1] = kind */
-  3,   /* field[3] = program */
-  9,   /* field[9] = request */
-  4,   /* field[4] = seq */
-  6,   /* field[6] = stream */
+static const unsigned mu__daemon_row__field_indices_by_name[] = {
+  4,   /* field[4] = caller_addr */
+  2,   /* field[2] = domain */
+  0,   /* field[0] = host */
+  1,   /* field[1] = incarnation */
+  3,   /* field[3] = mesh_addr */
 };
-static const ProtobufCIntRange mu__forward__number_ranges[1 + 1] =
+static const ProtobufCIntRange mu__daemon_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 5 }
 };
-const ProtobufCMessageDescriptor mu__forward__descriptor =
+const ProtobufCMessageDescriptor mu__daemon_row__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "mu.Forward",
-  "Forward",
-  "Mu__Forward",
+  "mu.DaemonRow",
+  "DaemonRow",
+  "Mu__DaemonRow",
   "mu",
-  sizeof(Mu__Forward),
-  10,
-  mu__forward__field_descriptors,
-  mu__forward__field_indices_by_name,
-  1,  mu__forward__number_ranges,
-  (ProtobufCMessageInit) mu__forward__init,
+  sizeof(Mu__DaemonRow),
+  5,
+  mu__daemon_row__field_descriptors,
+  mu__daemon_row__field_indices_by_name,
+  1,  mu__daemon_row__number_ranges,
+  (ProtobufCMessageInit) mu__daemon_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mu__chunk__field_descriptors[3] =
+static const ProtobufCFieldDescriptor mu__ledger_row__field_descriptors[4] =
 {
   {
-    "id",
+    "budget",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Mu__Chunk, id),
+    offsetof(Mu__LedgerRow, budget),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "offset",
+    "granted",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Mu__Chunk, offset),
+    offsetof(Mu__LedgerRow, granted),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "data",
+    "writer",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Mu__Chunk, data),
+    offsetof(Mu__LedgerRow, writer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "draw",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mu__LedgerRow, draw),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned mu__chunk__field_indices_by_name[] = {
-  2,   /* field[2] = data */
-  0,   /* field[0] = id */
-  1,   /* field[1] = offset */
+static const unsigned mu__ledger_row__field_indices_by_name[] = {
+  0,   /* field[0] = budget */
+  3,   /* field[3] = draw */
+  1,   /* field[1] = granted */
+  2,   /* field[2] = writer */
 };
-static const ProtobufCIntRange mu__chunk__number_ranges[1 + 1] =
+static const ProtobufCIntRange mu__ledger_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor mu__chunk__descriptor =
+const ProtobufCMessageDescriptor mu__ledger_row__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "mu.Chunk",
-  "Chunk",
-  "Mu__Chunk",
+  "mu.LedgerRow",
+  "LedgerRow",
+  "Mu__LedgerRow",
   "mu",
-  sizeof(Mu__Chunk),
-  3,
-  mu__chunk__field_descriptors,
-  mu__chunk__field_indices_by_name,
-  1,  mu__chunk__number_ranges,
-  (ProtobufCMessageInit) mu__chunk__init,
+  sizeof(Mu__LedgerRow),
+  4,
+  mu__ledger_row__field_descriptors,
+  mu__ledger_row__field_indices_by_name,
+  1,  mu__ledger_row__number_ranges,
+  (ProtobufCMessageInit) mu__ledger_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mu__result__field_descriptors[6] =
+static const ProtobufCFieldDescriptor mu__turn_record__field_descriptors[4] =
 {
   {
-    "id",
+    "turn",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Mu__Result, id),
-    NULL,
+    offsetof(Mu__TurnRecord, turn),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "status",
+    "ancestors",
     2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Mu__Result, status),
-    NULL,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Mu__TurnRecord, n_ancestors),
+    offsetof(Mu__TurnRecord, ancestors),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "body",
+    "input",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Mu__Result, body),
+    offsetof(Mu__TurnRecord, input),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "retry_after_ms",
+    "output",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Mu__Result, retry_after_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "streamed",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Mu__Result, streamed),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "not_owner",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Mu__Result, not_owner),
+    offsetof(Mu__TurnRecord, output),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned mu__result__field_indices_by_name[] = {
-  2,   /* field[2] = body */
-  0,   /* field[0] = id */
-  5,   /* field[5] = not_owner */
-  3,   /* field[3] = retry_after_ms */
-  1,   /* field[1] = status */
-  4,   /* field[4] = streamed */
+static const unsigned mu__turn_record__field_indices_by_name[] = {
+  1,   /* field[1] = ancestors */
+  2,   /* field[2] = input */
+  3,   /* field[3] = output */
+  0,   /* field[0] = turn */
 };
-static const ProtobufCIntRange mu__result__number_ranges[1 + 1] =
+static const ProtobufCIntRange mu__turn_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor mu__result__descriptor =
+const ProtobufCMessageDescriptor mu__turn_record__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "mu.Result",
-  "Result",
-  "Mu__Result",
+  "mu.TurnRecord",
+  "TurnRecord",
+  "Mu__TurnRecord",
   "mu",
-  sizeof(Mu__Result),
-  6,
-  mu__result__field_descriptors,
-  mu__result__field_indices_by_name,
-  1,  mu__result__number_ranges,
-  (ProtobufCMessageInit) mu__result__init,
+  sizeof(Mu__TurnRecord),
+  4,
+  mu__turn_record__field_descriptors,
+  mu__turn_record__field_indices_by_name,
+  1,  mu__turn_record__number_ranges,
+  (ProtobufCMessageInit) mu__turn_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mu__config__field_descriptors[2] =
+static const ProtobufCFieldDescriptor mu__turn_records__field_descriptors[1] =
 {
   {
-    "version",
+    "records",
     1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Mu__Config, version),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "text",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Mu__Config, text),
-    NULL,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mu__TurnRecords, n_records),
+    offsetof(Mu__TurnRecords, records),
+    &mu__turn_record__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned mu__config__field_indices_by_name[] = {
-  1,   /* field[1] = text */
-  0,   /* field[0] = version */
+static const unsigned mu__turn_records__field_indices_by_name[] = {
+  0,   /* field[0] = records */
 };
-static const ProtobufCIntRange mu__config__number_ranges[1 + 1] =
+static const ProtobufCIntRange mu__turn_records__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 1 }
 };
-const ProtobufCMessageDescriptor mu__config__descriptor =
+const ProtobufCMessageDescriptor mu__turn_records__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "mu.Config",
-  "Config",
-  "Mu__Config",
+  "mu.TurnRecords",
+  "TurnRecords",
+  "Mu__TurnRecords",
   "mu",
-  sizeof(Mu__Config),
-  2,
-  mu__config__field_descriptors,
-  mu__config__field_indices_by_name,
-  1,  mu__config__number_ranges,
-  (ProtobufCMessageInit) mu__config__init,
+  sizeof(Mu__TurnRecords),
+  1,
+  mu__turn_records__field_descriptors,
+  mu__turn_records__field_indices_by_name,
+  1,  mu__turn_records__number_ranges,
+  (ProtobufCMessageInit) mu__turn_records__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mu__frame__field_descriptors[6] =
+static const ProtobufCFieldDescriptor mu__frame__field_descriptors[12] =
 {
   {
     "hello",
@@ -1198,19 +3093,97 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "beat",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mu__Frame, body_case),
+    offsetof(Mu__Frame, beat),
+    &mu__beat__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "begin",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mu__Frame, body_case),
+    offsetof(Mu__Frame, begin),
+    &mu__begin__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "granted",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mu__Frame, body_case),
+    offsetof(Mu__Frame, granted),
+    &mu__granted__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "settle",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mu__Frame, body_case),
+    offsetof(Mu__Frame, settle),
+    &mu__settle__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "relay",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mu__Frame, body_case),
+    offsetof(Mu__Frame, relay),
+    &mu__relay__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "relayed",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mu__Frame, body_case),
+    offsetof(Mu__Frame, relayed),
+    &mu__relayed__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mu__frame__field_indices_by_name[] = {
+  6,   /* field[6] = beat */
+  7,   /* field[7] = begin */
   3,   /* field[3] = chunk */
   5,   /* field[5] = config */
   2,   /* field[2] = forward */
+  8,   /* field[8] = granted */
   1,   /* field[1] = heartbeat */
   0,   /* field[0] = hello */
+  10,   /* field[10] = relay */
+  11,   /* field[11] = relayed */
   4,   /* field[4] = result */
+  9,   /* field[9] = settle */
 };
 static const ProtobufCIntRange mu__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor mu__frame__descriptor =
 {
@@ -1220,7 +3193,7 @@
   "Mu__Frame",
   "mu",
   sizeof(Mu__Frame),
-  6,
+  12,
   mu__frame__field_descriptors,
   mu__frame__field_indices_by_name,
   1,  mu__frame__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -22,6 +22,20 @@
 typedef struct Mu__Chunk Mu__Chunk;
 typedef struct Mu__Result Mu__Result;
 typedef struct Mu__Config Mu__Config;
+typedef struct Mu__EndpointUse Mu__EndpointUse;
+typedef struct Mu__Beat Mu__Beat;
+typedef struct Mu__Begin Mu__Begin;
+typedef struct Mu__Granted Mu__Granted;
+typedef struct Mu__Settle Mu__Settle;
+typedef struct Mu__Relay Mu__Relay;
+typedef struct Mu__Relayed Mu__Relayed;
+typedef struct Mu__StoreRow Mu__StoreRow;
+typedef struct Mu__StoreOp Mu__StoreOp;
+typedef struct Mu__StoreResult Mu__StoreResult;
+typedef struct Mu__DaemonRow Mu__DaemonRow;
+typedef struct Mu__LedgerRow Mu__LedgerRow;
+typedef struct Mu__TurnRecord Mu__TurnRecord;
+typedef struct Mu__TurnRecords Mu__TurnRecords;
 typedef struct Mu__Frame Mu__Frame;
 
 
@@ -39,6 +53,54 @@
   MU__FORWARD__KIND__EXPLAIN = 5
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MU__FORWARD__KIND)
 } Mu__Forward__Kind;
+typedef enum _Mu__Granted__Status {
+  MU__GRANTED__STATUS__OK = 0,
+  /*
+   * the budget does not hold this turn
+   */
+  MU__GRANTED__STATUS__EXHAUSTED = 1,
+  /*
+   * cannot tell now
+   */
+  MU__GRANTED__STATUS__UNAVAILABLE = 2
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MU__GRANTED__STATUS)
+} Mu__Granted__Status;
+typedef enum _Mu__StoreOp__Kind {
+  /*
+   * all or nothing; one part
+   */
+  MU__STORE_OP__KIND__WRITE = 0,
+  MU__STORE_OP__KIND__READ = 1,
+  /*
+   * changes of a table after a version
+   */
+  MU__STORE_OP__KIND__FEED = 2
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MU__STORE_OP__KIND)
+} Mu__StoreOp__Kind;
+typedef enum _Mu__StoreResult__Status {
+  MU__STORE_RESULT__STATUS__DONE = 0,
+  /*
+   * rows: those expected, as they are now
+   */
+  MU__STORE_RESULT__STATUS__CONFLICT = 1,
+  /*
+   * nothing was done
+   */
+  MU__STORE_RESULT__STATUS__REFUSED = 2,
+  /*
+   * no answer: it may have been done
+   */
+  MU__STORE_RESULT__STATUS__UNKNOWN = 3,
+  /*
+   * FEED: read the table anew
+   */
+  MU__STORE_RESULT__STATUS__HISTORY_GONE = 4,
+  /*
+   * the store does not take this operation
+   */
+  MU__STORE_RESULT__STATUS__INVALID = 5
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MU__STORE_RESULT__STATUS)
+} Mu__StoreResult__Status;
 
 /* --- messages --- */
 
@@ -227,6 +289,304 @@
     , 0, {0,NULL} }
 
 
+/*
+ * Requests of the sender that are at an endpoint now.
+ */
+struct  Mu__EndpointUse
+{
+  ProtobufCMessage base;
+  /*
+   * hash of the endpoint's name
+   */
+  uint64_t endpoint;
+  uint32_t sent;
+};
+#define MU__ENDPOINT_USE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mu__endpoint_use__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * Sent on each mesh link once per heartbeat interval, and at once when the
+ * sender begins to leave.
+ */
+struct  Mu__Beat
+{
+  ProtobufCMessage base;
+  char *host;
+  uint64_t incarnation;
+  protobuf_c_boolean leaving;
+  /*
+   * knows a configuration and serves
+   */
+  protobuf_c_boolean ready;
+  uint64_t config_version;
+  /*
+   * the store answers the sender
+   */
+  protobuf_c_boolean store_ok;
+  size_t n_uses;
+  Mu__EndpointUse **uses;
+};
+#define MU__BEAT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mu__beat__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0,NULL }
+
+
+/*
+ * Asks the program's home to reserve budget for a turn and for its history.
+ */
+struct  Mu__Begin
+{
+  ProtobufCMessage base;
+  /*
+   * unique on the link, chosen by the sender
+   */
+  uint64_t id;
+  char *program;
+  /*
+   * tokens that the whole program may generate
+   */
+  uint64_t budget;
+  /*
+   * tokens that this turn may generate
+   */
+  uint64_t most;
+  char *turn;
+  /*
+   * the turn that it continues; empty: none
+   */
+  char *previous;
+  /*
+   * the sender has no copy of it
+   */
+  protobuf_c_boolean need_history;
+};
+#define MU__BEGIN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mu__begin__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Mu__Granted
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  Mu__Granted__Status status;
+  /*
+   * a TurnRecord list, oldest first; may be empty
+   */
+  ProtobufCBinaryData history;
+};
+#define MU__GRANTED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mu__granted__descriptor) \
+    , 0, MU__GRANTED__STATUS__OK, {0,NULL} }
+
+
+/*
+ * A turn has ended at the sender: tokens that were handed to the caller, and
+ * its record when it counts as a turn of the history.
+ */
+struct  Mu__Settle
+{
+  ProtobufCMessage base;
+  char *program;
+  char *turn;
+  uint64_t used;
+  /*
+   * a TurnRecord; empty: none
+   */
+  ProtobufCBinaryData record;
+  /*
+   * tokens that the turn had reserved
+   */
+  uint64_t most;
+};
+#define MU__SETTLE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mu__settle__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, {0,NULL}, 0 }
+
+
+/*
+ * A store operation that the sender cannot get through itself.
+ */
+struct  Mu__Relay
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  /*
+   * a StoreOp
+   */
+  ProtobufCBinaryData op;
+};
+#define MU__RELAY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mu__relay__descriptor) \
+    , 0, {0,NULL} }
+
+
+struct  Mu__Relayed
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  /*
+   * a StoreResult; empty: not run
+   */
+  ProtobufCBinaryData result;
+};
+#define MU__RELAYED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mu__relayed__descriptor) \
+    , 0, {0,NULL} }
+
+
+/*
+ * Operations on the platform's table store.
+ */
+struct  Mu__StoreRow
+{
+  ProtobufCMessage base;
+  char *table;
+  char *part;
+  char *key;
+  ProtobufCBinaryData value;
+  /*
+   * as a condition: 0 means that it must not exist
+   */
+  uint64_t ver;
+  protobuf_c_boolean removed;
+};
+#define MU__STORE_ROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mu__store_row__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0 }
+
+
+struct  Mu__StoreOp
+{
+  ProtobufCMessage base;
+  Mu__StoreOp__Kind kind;
+  size_t n_expected;
+  Mu__StoreRow **expected;
+  size_t n_put;
+  Mu__StoreRow **put;
+  size_t n_remove;
+  Mu__StoreRow **remove;
+  char *table;
+  char *part;
+  /*
+   * first key; empty: the first of all
+   */
+  char *from;
+  /*
+   * first key not read; empty: none
+   */
+  char *to;
+  uint32_t limit;
+  uint64_t after;
+  uint32_t wait_ms;
+};
+#define MU__STORE_OP__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mu__store_op__descriptor) \
+    , MU__STORE_OP__KIND__WRITE, 0,NULL, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+struct  Mu__StoreResult
+{
+  ProtobufCMessage base;
+  Mu__StoreResult__Status status;
+  size_t n_rows;
+  Mu__StoreRow **rows;
+  /*
+   * the limit cut the rows
+   */
+  protobuf_c_boolean more;
+  /*
+   * the newest version
+   */
+  uint64_t ver;
+};
+#define MU__STORE_RESULT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mu__store_result__descriptor) \
+    , MU__STORE_RESULT__STATUS__DONE, 0,NULL, 0, 0 }
+
+
+/*
+ * Rows of the daemons' own tables.
+ */
+struct  Mu__DaemonRow
+{
+  ProtobufCMessage base;
+  char *host;
+  uint64_t incarnation;
+  char *domain;
+  /*
+   * IP:PORT
+   */
+  char *mesh_addr;
+  /*
+   * IP:PORT
+   */
+  char *caller_addr;
+};
+#define MU__DAEMON_ROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mu__daemon_row__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
+struct  Mu__LedgerRow
+{
+  ProtobufCMessage base;
+  uint64_t budget;
+  /*
+   * tokens given out to daemons, used or not
+   */
+  uint64_t granted;
+  /*
+   * incarnation of the last writer
+   */
+  uint64_t writer;
+  /*
+   * number of the writer's draw
+   */
+  uint64_t draw;
+};
+#define MU__LEDGER_ROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mu__ledger_row__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+/*
+ * A turn that has ended.  Its whole history is that of `ancestors`, then its
+ * own input and output.
+ */
+struct  Mu__TurnRecord
+{
+  ProtobufCMessage base;
+  char *turn;
+  /*
+   * oldest first
+   */
+  size_t n_ancestors;
+  char **ancestors;
+  ProtobufCBinaryData input;
+  /*
+   * data of each event, each ended by a line feed
+   */
+  ProtobufCBinaryData output;
+};
+#define MU__TURN_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mu__turn_record__descriptor) \
+    , (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, {0,NULL} }
+
+
+struct  Mu__TurnRecords
+{
+  ProtobufCMessage base;
+  size_t n_records;
+  Mu__TurnRecord **records;
+};
+#define MU__TURN_RECORDS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mu__turn_records__descriptor) \
+    , 0,NULL }
+
+
 typedef enum {
   MU__FRAME__BODY__NOT_SET = 0,
   MU__FRAME__BODY_HELLO = 1,
@@ -234,7 +594,13 @@
   MU__FRAME__BODY_FORWARD = 3,
   MU__FRAME__BODY_CHUNK = 4,
   MU__FRAME__BODY_RESULT = 5,
-  MU__FRAME__BODY_CONFIG = 6
+  MU__FRAME__BODY_CONFIG = 6,
+  MU__FRAME__BODY_BEAT = 7,
+  MU__FRAME__BODY_BEGIN = 8,
+  MU__FRAME__BODY_GRANTED = 9,
+  MU__FRAME__BODY_SETTLE = 10,
+  MU__FRAME__BODY_RELAY = 11,
+  MU__FRAME__BODY_RELAYED = 12
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MU__FRAME__BODY__CASE)
 } Mu__Frame__BodyCase;
 
@@ -249,6 +615,12 @@
     Mu__Chunk *chunk;
     Mu__Result *result;
     Mu__Config *config;
+    Mu__Beat *beat;
+    Mu__Begin *begin;
+    Mu__Granted *granted;
+    Mu__Settle *settle;
+    Mu__Relay *relay;
+    Mu__Relayed *relayed;
   };
 };
 #define MU__FRAME__INIT \
@@ -389,6 +761,272 @@
 void   mu__config__free_unpacked
                      (Mu__Config *message,
                       ProtobufCAllocator *allocator);
+/* Mu__EndpointUse methods */
+void   mu__endpoint_use__init
+                     (Mu__EndpointUse         *message);
+size_t mu__endpoint_use__get_packed_size
+                     (const Mu__EndpointUse   *message);
+size_t mu__endpoint_use__pack
+                     (const Mu__EndpointUse   *message,
+                      uint8_t             *out);
+size_t mu__endpoint_use__pack_to_buffer
+                     (const Mu__EndpointUse   *message,
+                      ProtobufCBuffer     *buffer);
+Mu__EndpointUse *
+       mu__endpoint_use__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mu__endpoint_use__free_unpacked
+                     (Mu__EndpointUse *message,
+                      ProtobufCAllocator *allocator);
+/* Mu__Beat methods */
+void   mu__beat__init
+                     (Mu__Beat         *message);
+size_t mu__beat__get_packed_size
+                     (const Mu__Beat   *message);
+size_t mu__beat__pack
+                     (const Mu__Beat   *message,
+                      uint8_t             *out);
+size_t mu__beat__pack_to_buffer
+                     (const Mu__Beat   *message,
+                      ProtobufCBuffer     *buffer);
+Mu__Beat *
+       mu__beat__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mu__beat__free_unpacked
+                     (Mu__Beat *message,
+                      ProtobufCAllocator *allocator);
+/* Mu__Begin methods */
+void   mu__begin__init
+                     (Mu__Begin         *message);
+size_t mu__begin__get_packed_size
+                     (const Mu__Begin   *message);
+size_t mu__begin__pack
+                     (const Mu__Begin   *message,
+                      uint8_t             *out);
+size_t mu__begin__pack_to_buffer
+                     (const Mu__Begin   *message,
+                      ProtobufCBuffer     *buffer);
+Mu__Begin *
+       mu__begin__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mu__begin__free_unpacked
+                     (Mu__Begin *message,
+                      ProtobufCAllocator *allocator);
+/* Mu__Granted methods */
+void   mu__granted__init
+                     (Mu__Granted         *message);
+size_t mu__granted__get_packed_size
+                     (const Mu__Granted   *message);
+size_t mu__granted__pack
+                     (const Mu__Granted   *message,
+                      uint8_t             *out);
+size_t mu__granted__pack_to_buffer
+                     (const Mu__Granted   *message,
+                      ProtobufCBuffer     *buffer);
+Mu__Granted *
+       mu__granted__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mu__granted__free_unpacked
+                     (Mu__Granted *message,
+                      ProtobufCAllocator *allocator);
+/* Mu__Settle methods */
+void   mu__settle__init
+                     (Mu__Settle         *message);
+size_t mu__settle__get_packed_size
+                     (const Mu__Settle   *message);
+size_t mu__settle__pack
+                     (const Mu__Settle   *message,
+                      uint8_t             *out);
+size_t mu__settle__pack_to_buffer
+                     (const Mu__Settle   *message,
+                      ProtobufCBuffer     *buffer);
+Mu__Settle *
+       mu__settle__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mu__settle__free_unpacked
+                     (Mu__Settle *message,
+                      ProtobufCAllocator *allocator);
+/* Mu__Relay methods */
+void   mu__relay__init
+                     (Mu__Relay         *message);
+size_t mu__relay__get_packed_size
+                     (const Mu__Relay   *message);
+size_t mu__relay__pack
+                     (const Mu__Relay   *message,
+                      uint8_t             *out);
+size_t mu__relay__pack_to_buffer
+                     (const Mu__Relay   *message,
+                      ProtobufCBuffer     *buffer);
+Mu__Relay *
+       mu__relay__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mu__relay__free_unpacked
+                     (Mu__Relay *message,
+                      ProtobufCAllocator *allocator);
+/* Mu__Relayed methods */
+void   mu__relayed__init
+                     (Mu__Relayed         *message);
+size_t mu__relayed__get_packed_size
+                     (const Mu__Relayed   *message);
+size_t mu__relayed__pack
+                     (const Mu__Relayed   *message,
+                      uint8_t             *out);
+size_t mu__relayed__pack_to_buffer
+                     (const Mu__Relayed   *message,
+                      ProtobufCBuffer     *buffer);
+Mu__Relayed *
+       mu__relayed__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mu__relayed__free_unpacked
+                     (Mu__Relayed *message,
+                      ProtobufCAllocator *allocator);
+/* Mu__StoreRow methods */
+void   mu__store_row__init
+                     (Mu__StoreRow         *message);
+size_t mu__store_row__get_packed_size
+                     (const Mu__StoreRow   *message);
+size_t mu__store_row__pack
+                     (const Mu__StoreRow   *message,
+                      uint8_t             *out);
+size_t mu__store_row__pack_to_buffer
+                     (const Mu__StoreRow   *message,
+                      ProtobufCBuffer     *buffer);
+Mu__StoreRow *
+       mu__store_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mu__store_row__free_unpacked
+                     (Mu__StoreRow *message,
+                      ProtobufCAllocator *allocator);
+/* Mu__StoreOp methods */
+void   mu__store_op__init
+                     (Mu__StoreOp         *message);
+size_t mu__store_op__get_packed_size
+                     (const Mu__StoreOp   *message);
+size_t mu__store_op__pack
+                     (const Mu__StoreOp   *message,
+                      uint8_t             *out);
+size_t mu__store_op__pack_to_buffer
+                     (const Mu__StoreOp   *message,
+                      ProtobufCBuffer     *buffer);
+Mu__StoreOp *
+       mu__store_op__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mu__store_op__free_unpacked
+                     (Mu__StoreOp *message,
+                      ProtobufCAllocator *allocator);
+/* Mu__StoreResult methods */
+void   mu__store_result__init
+                     (Mu__StoreResult         *message);
+size_t mu__store_result__get_packed_size
+                     (const Mu__StoreResult   *message);
+size_t mu__store_result__pack
+                     (const Mu__StoreResult   *message,
+                      uint8_t             *out);
+size_t mu__store_result__pack_to_buffer
+                     (const Mu__StoreResult   *message,
+                      ProtobufCBuffer     *buffer);
+Mu__StoreResult *
+       mu__store_result__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mu__store_result__free_unpacked
+                     (Mu__StoreResult *message,
+                      ProtobufCAllocator *allocator);
+/* Mu__DaemonRow methods */
+void   mu__daemon_row__init
+                     (Mu__DaemonRow         *message);
+size_t mu__daemon_row__get_packed_size
+                     (const Mu__DaemonRow   *message);
+size_t mu__daemon_row__pack
+                     (const Mu__DaemonRow   *message,
+                      uint8_t             *out);
+size_t mu__daemon_row__pack_to_buffer
+                     (const Mu__DaemonRow   *message,
+                      ProtobufCBuffer     *buffer);
+Mu__DaemonRow *
+       mu__daemon_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mu__daemon_row__free_unpacked
+                     (Mu__DaemonRow *message,
+                      ProtobufCAllocator *allocator);
+/* Mu__LedgerRow methods */
+void   mu__ledger_row__init
+                     (Mu__LedgerRow         *message);
+size_t mu__ledger_row__get_packed_size
+                     (const Mu__LedgerRow   *message);
+size_t mu__ledger_row__pack
+                     (const Mu__LedgerRow   *message,
+                      uint8_t             *out);
+size_t mu__ledger_row__pack_to_buffer
+                     (const Mu__LedgerRow   *message,
+                      ProtobufCBuffer     *buffer);
+Mu__LedgerRow *
+       mu__ledger_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mu__ledger_row__free_unpacked
+                     (Mu__LedgerRow *message,
+                      ProtobufCAllocator *allocator);
+/* Mu__TurnRecord methods */
+void   mu__turn_record__init
+                     (Mu__TurnRecord         *message);
+size_t mu__turn_record__get_packed_size
+                     (const Mu__TurnRecord   *message);
+size_t mu__turn_record__pack
+                     (const Mu__TurnRecord   *message,
+                      uint8_t             *out);
+size_t mu__turn_record__pack_to_buffer
+                     (const Mu__TurnRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Mu__TurnRecord *
+       mu__turn_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mu__turn_record__free_unpacked
+                     (Mu__TurnRecord *message,
+                      ProtobufCAllocator *allocator);
+/* Mu__TurnRecords methods */
+void   mu__turn_records__init
+                     (Mu__TurnRecords         *message);
+size_t mu__turn_records__get_packed_size
+                     (const Mu__TurnRecords   *message);
+size_t mu__turn_records__pack
+                     (const Mu__TurnRecords   *message,
+                      uint8_t             *out);
+size_t mu__turn_records__pack_to_buffer
+                     (const Mu__TurnRecords   *message,
+                      ProtobufCBuffer     *buffer);
+Mu__TurnRecords *
+       mu__turn_records__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mu__turn_records__free_unpacked
+                     (Mu__TurnRecords *message,
+                      ProtobufCAllocator *allocator);
 /* Mu__Frame methods */
 void   mu__frame__init
                      (Mu__Frame         *message);
@@ -431,6 +1069,48 @@
 typedef void (*Mu__Config_Closure)
                  (const Mu__Config *message,
                   void *closure_data);
+typedef void (*Mu__EndpointUse_Closure)
+                 (const Mu__EndpointUse *message,
+                  void *closure_data);
+typedef void (*Mu__Beat_Closure)
+                 (const Mu__Beat *message,
+                  void *closure_data);
+typedef void (*Mu__Begin_Closure)
+                 (const Mu__Begin *message,
+                  void *closure_data);
+typedef void (*Mu__Granted_Closure)
+                 (const Mu__Granted *message,
+                  void *closure_data);
+typedef void (*Mu__Settle_Closure)
+                 (const Mu__Settle *message,
+                  void *closure_data);
+typedef void (*Mu__Relay_Closure)
+                 (const Mu__Relay *message,
+                  void *closure_data);
+typedef void (*Mu__Relayed_Closure)
+                 (const Mu__Relayed *message,
+                  void *closure_data);
+typedef void (*Mu__StoreRow_Closure)
+                 (const Mu__StoreRow *message,
+                  void *closure_data);
+typedef void (*Mu__StoreOp_Closure)
+                 (const Mu__StoreOp *message,
+                  void *closure_data);
+typedef void (*Mu__StoreResult_Closure)
+                 (const Mu__StoreResult *message,
+                  void *closure_data);
+typedef void (*Mu__DaemonRow_Closure)
+                 (const Mu__DaemonRow *message,
+                  void *closure_data);
+typedef void (*Mu__LedgerRow_Closure)
+                 (const Mu__LedgerRow *message,
+                  void *closure_data);
+typedef void (*Mu__TurnRecord_Closure)
+                 (const Mu__TurnRecord *message,
+                  void *closure_data);
+typedef void (*Mu__TurnRecords_Closure)
+                 (const Mu__TurnRecords *message,
+                  void *closure_data);
 typedef void (*Mu__Frame_Closure)
                  (const Mu__Frame *message,
                   void *closure_data);
@@ -448,6 +1128,23 @@
 extern const ProtobufCMessageDescriptor mu__chunk__descriptor;
 extern const ProtobufCMessageDescriptor mu__result__descriptor;
 extern const ProtobufCMessageDescriptor mu__config__descriptor;
+extern const ProtobufCMessageDescriptor mu__endpoint_use__descriptor;
+extern const ProtobufCMessageDescriptor mu__beat__descriptor;
+extern const ProtobufCMessageDescriptor mu__begin__descriptor;
+extern const ProtobufCMessageDescriptor mu__granted__descriptor;
+extern const ProtobufCEnumDescriptor    mu__granted__status__descriptor;
+extern const ProtobufCMessageDescriptor mu__settle__descriptor;
+extern const ProtobufCMessageDescriptor mu__relay__descriptor;
+extern const ProtobufCMessageDescriptor mu__relayed__descriptor;
+extern const ProtobufCMessageDescriptor mu__store_row__descriptor;
+extern const ProtobufCMessageDescriptor mu__store_op__descriptor;
+extern const ProtobufCEnumDescriptor    mu__store_op__kind__descriptor;
+extern const ProtobufCMessageDescriptor mu__store_result__descriptor;
+extern const ProtobufCEnumDescriptor    mu__store_result__status__descriptor;
+extern const ProtobufCMessageDescriptor mu__daemon_row__descriptor;
+extern const ProtobufCMessageDescriptor mu__ledger_row__descriptor;
+extern const ProtobufCMessageDescriptor mu__turn_record__descriptor;
+extern const ProtobufCMessageDescriptor mu__turn_records__descriptor;
 extern const ProtobufCMessageDescriptor mu__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- /dev/null
+++ b/src/buf.h
@@ -0,0 +1,37 @@
+/*
+ * buf.h -- growing byte buffer that is read from its front.
+ */
+#ifndef MU_BUF_H
+#define MU_BUF_H
+
+#include "musher.h"
+
+struct mu_buf {
+	char *p;
+	size_t from; /* first unread byte */
+	size_t len; /* end of the bytes written */
+	size_t size;
+};
+
+/* Room for n more bytes and a NUL; NULL when memory is short. */
+char *mu_buf_room(struct mu_buf *b, size_t n);
+/* Returns 0 or MU_E_NOMEM. */
+int mu_buf_add(struct mu_buf *b, const void *data, size_t n);
+int mu_buf_printf(struct mu_buf *b, const char *fmt, ...)
+    __attribute__((format(printf, 2, 3)));
+void mu_buf_take(struct mu_buf *b, size_t n); /* drops n bytes at the front */
+void mu_buf_clear(struct mu_buf *b);
+
+static inline char *
+mu_buf_data(const struct mu_buf *b)
+{
+	return b->p + b->from;
+}
+
+static inline size_t
+mu_buf_len(const struct mu_buf *b)
+{
+	return b->len - b->from;
+}
+
+#endif
--- /dev/null
+++ b/src/choose.c
@@ -0,0 +1,141 @@
+/*
+ * choose.c -- which endpoint takes a request of the serving path.
+ *
+ * Load that this answers: traffic up to twice the usual, unevenly spread over
+ * failure domains, with endpoints that are slow or gone.  The cost of an
+ * endpoint is the time until the answer's end: a place in its batch, its pace
+ * when fuller, prompt tokens that it does not hold.  An endpoint of another
+ * failure domain costs a share of a call more, since its bytes are paid for;
+ * under load that is soon outweighed.  Among equals the draw is random, so
+ * that daemons with the same view don't follow one another.
+ */
+#include "choose.h"
+#include "view.h"
+
+#define FULL_RATIO \
+	1.5 /* of its slots: what an endpoint queues itself keeps \
+	       its batch full over the way of an answer */
+#define FAR_SHARE 0.10 /* of a call's time, for bytes between domains */
+#define PACE_SHARE 0.02 /* slower pace of a call for each one beside it */
+#define TIE_SHARE 0.03 /* costs closer than this are equal */
+#define RETRY_MIN_MS 100
+#define RETRY_MAX_MS 900 /* callers heed a third of their time at most */
+#define NONE_RETRY_MS 300 /* about until a new list of endpoints is read */
+
+static double
+load(const struct mu_candidate *c)
+{
+	return (double)c->sent + c->others;
+}
+
+static uint32_t
+slots(const struct mu_candidate *c)
+{
+	return c->slots > 0 ? c->slots : 1;
+}
+
+static bool
+full(const struct mu_candidate *c)
+{
+	return load(c) >= slots(c) * FULL_RATIO;
+}
+
+static double
+cost_of(const struct mu_candidate *c, const struct mu_demand *d)
+{
+	double l = load(c), s = slots(c), call = (double)d->call;
+	double cost = call * (1 + PACE_SHARE * l);
+
+	if (l >= s)
+		cost += call * (l - s + 1) / s;
+	if (!c->near)
+		cost += call * FAR_SHARE;
+	cost += (double)c->missing * (double)d->token;
+	return cost * c->slow;
+}
+
+struct mu_choice
+mu_choose(const struct mu_candidate *c, uint32_t n, const struct mu_demand *d,
+    uint64_t *rng)
+{
+	struct mu_choice out = {.kind = MU_CHOICE_REFUSE, .none = true};
+	double cost, best = 0;
+	uint32_t i, ties = 0;
+
+	for (i = 0; i < n; i++) {
+		if (!c[i].usable)
+			continue;
+		if (out.none) {
+			out.none = false;
+			out.kind = MU_CHOICE_WAIT;
+		}
+		if (full(&c[i]))
+			continue;
+		cost = cost_of(&c[i], d);
+		if (ties > 0 && cost > best * (1 + TIE_SHARE))
+			continue;
+		if (ties == 0 || cost < best * (1 - TIE_SHARE)) {
+			ties = 1;
+			best = cost;
+		} else if (mu_rand(rng) % ++ties != 0) {
+			continue;
+		}
+		out.kind = MU_CHOICE_SEND;
+		out.index = i;
+		out.cost = (mu_us)cost;
+	}
+	out.retry_after_ms = NONE_RETRY_MS;
+	return out;
+}
+
+static uint32_t
+retry_after(mu_us wait)
+{
+	mu_us ms = wait / MU_US_PER_MS;
+
+	if (ms < RETRY_MIN_MS)
+		return RETRY_MIN_MS;
+	return ms < RETRY_MAX_MS ? (uint32_t)ms : RETRY_MAX_MS;
+}
+
+struct mu_choice
+mu_choose_wait(const struct mu_candidate *c, uint32_t n,
+    const struct mu_demand *d, uint32_t ahead)
+{
+	struct mu_choice out = {.kind = MU_CHOICE_WAIT};
+	double places = 0, over = 0;
+	uint32_t i;
+	mu_us wait;
+
+	for (i = 0; i < n; i++) {
+		if (!c[i].usable)
+			continue;
+		places += slots(&c[i]) / c[i].slow;
+		if (load(&c[i]) > slots(&c[i]))
+			over += load(&c[i]) - slots(&c[i]);
+	}
+	out.retry_after_ms = NONE_RETRY_MS;
+	if (places == 0) {
+		out.kind = MU_CHOICE_REFUSE;
+		out.none = true;
+		return out;
+	}
+	wait = (mu_us)((double)d->call * (ahead + over + 1) / places);
+	if (wait + d->call <= d->left)
+		return out;
+	out.kind = MU_CHOICE_REFUSE;
+	out.retry_after_ms = retry_after(wait);
+	return out;
+}
+
+bool
+mu_choose_before(const struct mu_waiting *a, const struct mu_waiting *b)
+{
+	if (a->begun != b->begun)
+		return a->begun;
+	if (a->priority != b->priority)
+		return a->priority < b->priority;
+	if (a->slack != b->slack)
+		return a->slack < b->slack;
+	return a->since < b->since;
+}
--- a/src/frame.c
+++ b/src/frame.c
@@ -107,6 +107,7 @@
 	switch (tag >> 3) {
 	case MU__FRAME__BODY_HELLO:
 	case MU__FRAME__BODY_HEARTBEAT:
+	case MU__FRAME__BODY_BEAT:
 		return len <= MU_FRAME_SMALL ? 0 : MU_E_TOO_LARGE;
 	default:
 		return few_fields(body) ? 0 : MU_E_BAD_REQUEST;
--- /dev/null
+++ b/src/inbound.c
@@ -0,0 +1,451 @@
+/*
+ * inbound.c -- HTTP servers of the serving path.
+ *
+ * libmicrohttpd runs in its external event mode: its epoll descriptor is
+ * watched by the loop.  A request is suspended while it is worked on and
+ * resumed when its answer, or more of it, is there.  libmicrohttpd does not
+ * watch suspended connections, so the loop watches them for the caller's
+ * close.
+ */
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <jansson.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+
+#include "inbound.h"
+#include "log.h"
+
+#define UNACKED_MS 3000 /* a caller that acknowledges nothing is gone */
+#define HEADER_MEMORY ((size_t)32 * 1024) /* of one connection */
+#define STREAM_BLOCK 4096
+
+struct mu_inbound {
+	struct mu_loop *loop;
+	struct mu_in_conf conf;
+	struct MHD_Daemon *daemon;
+	struct mu_watch watch;
+	struct mu_timer timer;
+	struct mu_hook hook;
+	bool run; /* libmicrohttpd has something to do */
+	bool leaving;
+};
+
+static int
+connection_fd(struct MHD_Connection *c)
+{
+	const union MHD_ConnectionInfo *info;
+
+	info = MHD_get_connection_info(c, MHD_CONNECTION_INFO_CONNECTION_FD);
+	return info != NULL ? info->connect_fd : -1;
+}
+
+static void
+unwatch(struct mu_in_req *r)
+{
+	if (r->watching)
+		mu_watch_del(r->in->loop, &r->watch);
+	r->watching = false;
+}
+
+static void
+resume(struct mu_in_req *r)
+{
+	if (!r->suspended)
+		return;
+	r->suspended = false;
+	unwatch(r);
+	MHD_resume_connection(r->connection);
+	r->in->run = true;
+}
+
+/* The caller has closed or reset its connection while its call is worked on.
+ */
+static void
+on_hangup(void *arg, uint32_t events __attribute__((unused)))
+{
+	struct mu_in_req *r = arg;
+
+	r->gone = true;
+	r->broken = true;
+	resume(r);
+}
+
+static void
+suspend(struct mu_in_req *r)
+{
+	MHD_suspend_connection(r->connection);
+	r->suspended = true;
+	r->watch.fd = connection_fd(r->connection);
+	r->watch.events = EPOLLRDHUP;
+	r->watch.fn = on_hangup;
+	r->watch.arg = r;
+	r->watching = mu_watch_add(r->in->loop, &r->watch) == 0;
+}
+
+const char *
+mu_in_header(struct mu_in_req *r, const char *name)
+{
+	return MHD_lookup_connection_value(
+	    r->connection, MHD_HEADER_KIND, name);
+}
+
+const char *
+mu_in_query(struct mu_in_req *r, const char *name)
+{
+	return MHD_lookup_connection_value(
+	    r->connection, MHD_GET_ARGUMENT_KIND, name);
+}
+
+static void
+set_response(struct mu_in_req *r, int status, struct MHD_Response *response,
+    const struct mu_header *headers, size_t n)
+{
+	size_t i;
+
+	if (response == NULL) {
+		mu_log(MU_LOG_ERROR, "inbound", "out_of_memory", NULL);
+		r->broken = true;
+		resume(r);
+		return;
+	}
+	for (i = 0; i < n; i++)
+		(void)MHD_add_response_header(
+		    response, headers[i].name, headers[i].value);
+	if (r->in->leaving)
+		(void)MHD_add_response_header(
+		    response, MHD_HTTP_HEADER_CONNECTION, "close");
+	r->response = response;
+	r->status = status;
+	resume(r);
+}
+
+void
+mu_in_answer(struct mu_in_req *r, int status, const struct mu_header *headers,
+    size_t n, const void *body, size_t len)
+{
+	if (r->response != NULL || r->broken)
+		return;
+	set_response(r, status,
+	    MHD_create_response_from_buffer(
+		len, (void *)(uintptr_t)body, MHD_RESPMEM_MUST_COPY),
+	    headers, n);
+}
+
+/* Gives libmicrohttpd the next bytes of a stream. */
+static ssize_t
+read_stream(
+    void *arg, uint64_t pos __attribute__((unused)), char *to, size_t max)
+{
+	struct mu_in_req *r = arg;
+	size_t n = mu_buf_len(&r->out);
+
+	if (r->broken)
+		return MHD_CONTENT_READER_END_WITH_ERROR;
+	if (n > 0) {
+		if (n > max)
+			n = max;
+		memcpy(to, mu_buf_data(&r->out), n);
+		mu_buf_take(&r->out, n);
+		return (ssize_t)n;
+	}
+	if (r->ended)
+		return MHD_CONTENT_READER_END_OF_STREAM;
+	suspend(r);
+	return 0;
+}
+
+void
+mu_in_begin(
+    struct mu_in_req *r, int status, const struct mu_header *headers, size_t n)
+{
+	if (r->response != NULL || r->broken)
+		return;
+	r->streaming = true;
+	set_response(r, status,
+	    MHD_create_response_from_callback(
+		MHD_SIZE_UNKNOWN, STREAM_BLOCK, read_stream, r, NULL),
+	    headers, n);
+}
+
+void
+mu_in_write(struct mu_in_req *r, const void *data, size_t len)
+{
+	if (mu_buf_add(&r->out, data, len) != 0)
+		r->broken = true;
+	resume(r);
+}
+
+void
+mu_in_end(struct mu_in_req *r, bool complete)
+{
+	if (complete)
+		r->ended = true;
+	else
+		r->broken = true;
+	resume(r);
+}
+
+static void *
+on_uri(void *cls, const char *uri, struct MHD_Connection *connection)
+{
+	struct mu_inbound *in = cls;
+	struct mu_in_req *r = calloc(1, sizeof(*r));
+
+	if (r == NULL)
+		return NULL;
+	r->in = in;
+	r->connection = connection;
+	r->uri = strdup(uri);
+	r->target = r->uri;
+	r->arena = mu_arena_new();
+	return r;
+}
+
+static enum MHD_Result
+queue(struct mu_in_req *r)
+{
+	enum MHD_Result rc;
+
+	rc =
+	    MHD_queue_response(r->connection, (unsigned)r->status, r->response);
+	MHD_destroy_response(r->response);
+	return rc;
+}
+
+static enum MHD_Result
+body_add(struct mu_in_req *r, const char *data, size_t *size)
+{
+	if (r->body.len + *size > r->in->conf.max_body)
+		r->too_large = true;
+	else if (mu_buf_add(&r->body, data, *size) != 0)
+		return MHD_NO;
+	*size = 0;
+	return MHD_YES;
+}
+
+static enum MHD_Result
+on_access(void *cls __attribute__((unused)), struct MHD_Connection *connection,
+    const char *url __attribute__((unused)), const char *method,
+    const char *version __attribute__((unused)), const char *data, size_t *size,
+    void **state)
+{
+	struct mu_in_req *r = *state;
+
+	if (r == NULL)
+		return MHD_NO;
+	if (r->method == NULL) {
+		if (r->uri == NULL || r->arena == NULL)
+			return MHD_NO;
+		r->method = method;
+		r->has_body =
+		    mu_in_header(r, MHD_HTTP_HEADER_CONTENT_LENGTH) != NULL ||
+		    mu_in_header(r, MHD_HTTP_HEADER_TRANSFER_ENCODING) != NULL;
+		return MHD_YES;
+	}
+	if (*size > 0)
+		return body_add(r, data, size);
+	if (r->broken)
+		return MHD_NO;
+	if (r->handled)
+		return r->response != NULL ? queue(r) : MHD_NO;
+	r->handled = true;
+	MHD_set_connection_option(
+	    connection, MHD_CONNECTION_OPTION_TIMEOUT, 0U);
+	r->in->conf.hooks.request(r->in->conf.hooks.arg, r);
+	if (r->response != NULL)
+		return queue(r);
+	if (r->broken)
+		return MHD_NO;
+	suspend(r);
+	return MHD_YES;
+}
+
+static void
+on_completed(void *cls, struct MHD_Connection *connection, void **state,
+    enum MHD_RequestTerminationCode code)
+{
+	struct mu_inbound *in = cls;
+	struct mu_in_req *r = *state;
+
+	if (r == NULL)
+		return;
+	*state = NULL;
+	unwatch(r);
+	MHD_set_connection_option(
+	    connection, MHD_CONNECTION_OPTION_TIMEOUT, in->conf.idle_s);
+	if (r->handled)
+		in->conf.hooks.closed(in->conf.hooks.arg, r,
+		    code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
+	mu_buf_clear(&r->body);
+	mu_buf_clear(&r->out);
+	mu_arena_free(r->arena);
+	free(r->uri);
+	free(r);
+}
+
+static void
+on_connection(void *cls __attribute__((unused)),
+    struct MHD_Connection *connection, void **state __attribute__((unused)),
+    enum MHD_ConnectionNotificationCode code)
+{
+	int fd = connection_fd(connection), on = 1, unacked = UNACKED_MS;
+
+	if (code != MHD_CONNECTION_NOTIFY_STARTED || fd < 0)
+		return;
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	(void)setsockopt(
+	    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked, sizeof(unacked));
+}
+
+/* Before each wait of the loop: lets libmicrohttpd work while it has to. */
+static void
+run_pending(void *arg)
+{
+	struct mu_inbound *in = arg;
+	MHD_UNSIGNED_LONG_LONG ms;
+
+	while (in->run) {
+		in->run = false;
+		(void)MHD_run(in->daemon);
+	}
+	if (MHD_get_timeout(in->daemon, &ms) == MHD_YES)
+		mu_timer_set(in->loop, &in->timer,
+		    mu_loop_now(in->loop) + (mu_us)ms * MU_US_PER_MS);
+}
+
+static void
+on_ready(void *arg, uint32_t events __attribute__((unused)))
+{
+	struct mu_inbound *in = arg;
+
+	in->run = true;
+}
+
+static void
+on_timer(void *arg)
+{
+	struct mu_inbound *in = arg;
+
+	in->run = true;
+}
+
+static void
+on_panic(void *cls __attribute__((unused)), const char *file, unsigned line,
+    const char *reason)
+{
+	mu_log(MU_LOG_ERROR, "inbound", "panic", "{s:s,s:i,s:s?}", "file", file,
+	    "line", (int)line, "reason", reason);
+	abort();
+}
+
+/* What libmicrohttpd has to say, most of it about callers' connections. */
+static void
+on_message(void *cls __attribute__((unused)), const char *fmt, va_list ap)
+{
+	char text[256];
+
+	(void)vsnprintf(text, sizeof(text), fmt, ap);
+	text[strcspn(text, "\n")] = '\0';
+	mu_log(MU_LOG_WARN, "inbound", "library", "{s:s}", "message", text);
+}
+
+static int
+start(struct mu_inbound *in, struct sockaddr_in *sin)
+{
+	const union MHD_DaemonInfo *info;
+
+	MHD_set_panic_func(on_panic, NULL);
+	in->daemon = MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME |
+					  MHD_USE_SUPPRESS_DATE_NO_CLOCK |
+					  MHD_USE_ERROR_LOG,
+	    ntohs(sin->sin_port), NULL, NULL, on_access, in,
+	    MHD_OPTION_EXTERNAL_LOGGER, on_message, NULL, MHD_OPTION_SOCK_ADDR,
+	    (struct sockaddr *)sin, MHD_OPTION_URI_LOG_CALLBACK, on_uri, in,
+	    MHD_OPTION_NOTIFY_COMPLETED, on_completed, in,
+	    MHD_OPTION_NOTIFY_CONNECTION, on_connection, in,
+	    MHD_OPTION_CONNECTION_LIMIT, (unsigned)in->conf.max_connections,
+	    MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)in->conf.idle_s,
+	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, HEADER_MEMORY,
+	    MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+	if (in->daemon == NULL)
+		return MU_E_SYSTEM;
+	info = MHD_get_daemon_info(in->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+	if (info == NULL)
+		return MU_E_SYSTEM;
+	in->watch.fd = info->epoll_fd;
+	in->watch.events = EPOLLIN;
+	in->watch.fn = on_ready;
+	in->watch.arg = in;
+	return mu_watch_add(in->loop, &in->watch);
+}
+
+int
+mu_in_open(struct mu_inbound **out, struct mu_loop *l,
+    const struct mu_in_conf *conf, struct mu_error *e)
+{
+	struct sockaddr_in sin = {.sin_family = AF_INET};
+	struct mu_inbound *in = calloc(1, sizeof(*in));
+	char ip[MU_ADDR_LEN];
+	uint16_t port;
+
+	if (in == NULL)
+		return mu_fail(
+		    e, MU_E_NOMEM, MU_OUTCOME_NOT_RUN, 0, "no memory");
+	in->loop = l;
+	in->conf = *conf;
+	if (mu_addr_parse(conf->listen, ip, &port) != 0 ||
+	    inet_pton(AF_INET, ip, &sin.sin_addr) != 1) {
+		free(in);
+		return mu_fail(e, MU_E_CONFIG_INVALID, MU_OUTCOME_NOT_RUN, 0,
+		    "%s: expected IP:PORT", conf->listen);
+	}
+	sin.sin_port = htons(port);
+	if (start(in, &sin) != 0) {
+		if (in->daemon != NULL)
+			MHD_stop_daemon(in->daemon);
+		free(in);
+		return mu_fail(e, MU_E_SYSTEM, MU_OUTCOME_NOT_RUN, 0,
+		    "cannot listen on %s", conf->listen);
+	}
+	in->timer.fn = on_timer;
+	in->timer.arg = in;
+	in->hook.fn = run_pending;
+	in->hook.arg = in;
+	in->run = true;
+	mu_hook_add(l, &in->hook);
+	*out = in;
+	return 0;
+}
+
+void
+mu_in_leave(struct mu_inbound *in)
+{
+	in->leaving = true;
+}
+
+unsigned
+mu_in_connections(struct mu_inbound *in)
+{
+	const union MHD_DaemonInfo *info;
+
+	info = MHD_get_daemon_info(
+	    in->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+	return info != NULL ? info->num_connections : 0;
+}
+
+void
+mu_in_close(struct mu_inbound *in)
+{
+	if (in == NULL)
+		return;
+	mu_timer_clear(in->loop, &in->timer);
+	mu_watch_del(in->loop, &in->watch);
+	MHD_stop_daemon(in->daemon);
+	free(in);
+}
--- /dev/null
+++ b/src/ledger.h
@@ -0,0 +1,41 @@
+/*
+ * ledger.h -- token budget of one program at one daemon.
+ *
+ * The program's row in the store counts the tokens that were granted to
+ * daemons, used or not.  A daemon draws a share of the budget by a conditional
+ * write of that row and then spends it without the store.  Whoever draws,
+ * the sum of all grants stays within the budget, so no daemon has to be the
+ * only one, and what a dead daemon had drawn counts as spent.  Pure.
+ */
+#ifndef MU_LEDGER_H
+#define MU_LEDGER_H
+
+#include "musher.h"
+
+struct mu_ledger {
+	uint64_t budget; /* tokens, of the whole program */
+	uint64_t granted; /* to all daemons, as the row last said */
+	uint64_t drawn; /* by this daemon */
+	uint64_t spent; /* of that */
+	uint64_t reserved; /* of that, for turns in progress */
+};
+
+enum mu_ledger_kind {
+	MU_LEDGER_RESERVED,
+	MU_LEDGER_DRAW, /* draw first, then ask again */
+	MU_LEDGER_EXHAUSTED
+};
+
+struct mu_ledger_answer {
+	enum mu_ledger_kind kind;
+	uint64_t draw; /* DRAW: tokens to draw */
+};
+
+/* Reserves most tokens for a turn. */
+struct mu_ledger_answer mu_ledger_reserve(struct mu_ledger *l, uint64_t most);
+/* The row now says granted; amount of it was drawn by this daemon just now. */
+void mu_ledger_drawn(struct mu_ledger *l, uint64_t amount, uint64_t granted);
+/* A turn has ended that had reserved most and used used. */
+void mu_ledger_settle(struct mu_ledger *l, uint64_t most, uint64_t used);
+
+#endif
--- /dev/null
+++ b/src/mesh.c
@@ -0,0 +1,593 @@
+/*
+ * mesh.c -- links between the daemons of the serving path.
+ *
+ * Frames are those of frame.c.  A link that its peer does not read is closed
+ * when its queue is full, and one whose bytes stay unacknowledged is closed by
+ * the kernel (TCP_USER_TIMEOUT); then it is dialled anew.  Requests that wait
+ * on a link end when it does, so that their senders can go another way at
+ * once.
+ */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <jansson.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "buf.h"
+#include "frame.h"
+#include "log.h"
+#include "mesh.h"
+
+#define QUEUE_MAX ((size_t)8 << 20) /* bytes that a peer may leave unread */
+#define READ_BYTES 16384
+#define DIAL_US (1 * MU_US_PER_S) /* between two attempts to one peer */
+#define CONNECT_US (500 * MU_US_PER_MS)
+#define BACKLOG 128
+
+struct mu_mesh_link {
+	struct cds_list_head node;
+	struct mu_mesh *mesh;
+	struct mu_peer *peer; /* dialled links; NULL on accepted ones */
+	unsigned references;
+	bool closed;
+	bool connecting;
+	mu_us opened;
+	struct mu_watch watch;
+	struct mu_buf in;
+	struct mu_buf out;
+	struct cds_list_head asks;
+};
+
+struct ask {
+	struct cds_list_head node;
+	struct mu_loop *loop;
+	uint64_t id;
+	struct mu_timer timer;
+	mu_mesh_fn fn;
+	void *arg;
+};
+
+struct mu_mesh {
+	struct mu_loop *loop;
+	struct mu_mesh_conf conf;
+	struct mu_mesh_hooks hooks;
+	char host[MU_NAME_LEN];
+	struct mu_watch listener;
+	struct mu_timer timer;
+	struct cds_list_head peers;
+	struct cds_list_head links;
+	uint64_t next_id;
+};
+
+static void on_link(void *arg, uint32_t events);
+
+struct mu_mesh_link *
+mu_mesh_hold(struct mu_mesh_link *l)
+{
+	l->references++;
+	return l;
+}
+
+void
+mu_mesh_release(struct mu_mesh_link *l)
+{
+	if (--l->references > 0)
+		return;
+	mu_buf_clear(&l->in);
+	mu_buf_clear(&l->out);
+	free(l);
+}
+
+static void
+ask_end(struct ask *a, const Mu__Frame *reply)
+{
+	cds_list_del(&a->node);
+	mu_timer_clear(a->loop, &a->timer);
+	a->fn(a->arg, reply);
+	free(a);
+}
+
+static void
+set_up(struct mu_mesh *m, struct mu_peer *p)
+{
+	mu_us silence = m->conf.silence_ms * MU_US_PER_MS;
+	bool up = p->connected && p->heard != 0 &&
+		  mu_loop_now(m->loop) - p->heard < silence;
+
+	if (up == p->up)
+		return;
+	p->up = up;
+	mu_log(up ? MU_LOG_INFO : MU_LOG_WARN, "mesh",
+	    up ? "peer_up" : "peer_down", "{s:s,s:b,s:I}", "host", p->host,
+	    "connected", p->connected, "heard_ms_ago",
+	    p->heard != 0
+		? (json_int_t)((mu_loop_now(m->loop) - p->heard) / MU_US_PER_MS)
+		: -1);
+	if (m->hooks.changed != NULL)
+		m->hooks.changed(m->hooks.arg, p);
+}
+
+static void
+link_close(struct mu_mesh_link *l)
+{
+	struct ask *a, *next;
+	struct mu_peer *p = l->peer;
+
+	if (l->closed)
+		return;
+	l->closed = true;
+	mu_watch_del(l->mesh->loop, &l->watch);
+	(void)close(l->watch.fd);
+	cds_list_del(&l->node);
+	if (p != NULL) {
+		p->link = NULL;
+		p->connected = false;
+		set_up(l->mesh, p);
+	}
+	cds_list_for_each_entry_safe (a, next, &l->asks, node)
+		ask_end(a, NULL);
+	mu_mesh_release(l);
+}
+
+/* Writes what is queued; the link is closed when it is broken. */
+static void
+flush(struct mu_mesh_link *l)
+{
+	ssize_t n;
+
+	while (mu_buf_len(&l->out) > 0) {
+		n = send(l->watch.fd, mu_buf_data(&l->out), mu_buf_len(&l->out),
+		    MSG_NOSIGNAL | MSG_DONTWAIT);
+		if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
+			mu_watch_set(
+			    l->mesh->loop, &l->watch, EPOLLIN | EPOLLOUT);
+			return;
+		}
+		if (n < 0) {
+			link_close(l);
+			return;
+		}
+		mu_buf_take(&l->out, (size_t)n);
+	}
+	mu_watch_set(l->mesh->loop, &l->watch, EPOLLIN);
+}
+
+static bool
+post(struct mu_mesh_link *l, const Mu__Frame *f)
+{
+	uint8_t *p;
+	size_t n;
+
+	if (l == NULL || l->closed || mu_buf_len(&l->out) > QUEUE_MAX ||
+	    mu_frame_encode(f, &p, &n) != 0)
+		return false;
+	(void)mu_buf_add(&l->out, p, n);
+	free(p);
+	/* Written by the loop: a broken link must not end within a send. */
+	if (!l->connecting)
+		mu_watch_set(l->mesh->loop, &l->watch, EPOLLIN | EPOLLOUT);
+	return true;
+}
+
+static void
+answer_ask(struct mu_mesh_link *l, uint64_t id, const Mu__Frame *f)
+{
+	struct ask *a;
+
+	cds_list_for_each_entry (a, &l->asks, node)
+		if (a->id == id) {
+			ask_end(a, f);
+			return;
+		}
+}
+
+static void
+on_beat(struct mu_mesh *m, Mu__Frame *f)
+{
+	struct mu_peer *p = mu_mesh_peer(m, f->beat->host);
+
+	if (p == NULL)
+		return;
+	if (p->beat != NULL)
+		mu__beat__free_unpacked(p->beat, NULL);
+	p->beat = f->beat;
+	f->body_case = MU__FRAME__BODY__NOT_SET;
+	p->incarnation = p->beat->incarnation;
+	p->heard = mu_loop_now(m->loop);
+	p->leaving = p->beat->leaving;
+	p->ready = p->beat->ready;
+	p->store_ok = p->beat->store_ok;
+	p->config_version = p->beat->config_version;
+	set_up(m, p);
+	if (m->hooks.heard != NULL)
+		m->hooks.heard(m->hooks.arg, p);
+}
+
+static void
+on_frame(struct mu_mesh_link *l, Mu__Frame *f)
+{
+	switch (f->body_case) {
+	case MU__FRAME__BODY_BEAT:
+		on_beat(l->mesh, f);
+		break;
+	case MU__FRAME__BODY_GRANTED:
+		answer_ask(l, f->granted->id, f);
+		break;
+	case MU__FRAME__BODY_RELAYED:
+		answer_ask(l, f->relayed->id, f);
+		break;
+	case MU__FRAME__BODY_BEGIN:
+	case MU__FRAME__BODY_SETTLE:
+	case MU__FRAME__BODY_RELAY:
+		l->mesh->hooks.request(l->mesh->hooks.arg, l, f);
+		break;
+	default: /* of a newer release */
+		break;
+	}
+}
+
+/* Handles the frames that have come whole; false when they are malformed. */
+static bool
+take_frames(struct mu_mesh_link *l)
+{
+	Mu__Frame *f;
+	size_t used;
+
+	for (;;) {
+		if (mu_frame_decode((uint8_t *)mu_buf_data(&l->in),
+			mu_buf_len(&l->in), &used, &f) != 0)
+			return false;
+		if (f == NULL)
+			return true;
+		mu_buf_take(&l->in, used);
+		on_frame(l, f);
+		mu_frame_free(f);
+		if (l->closed)
+			return true;
+	}
+}
+
+static void
+read_link(struct mu_mesh_link *l)
+{
+	char *room;
+	ssize_t n;
+
+	do {
+		room = mu_buf_room(&l->in, READ_BYTES);
+		n = room == NULL ? 0 : recv(l->watch.fd, room, READ_BYTES, 0);
+		if (n < 0 && (errno == EAGAIN || errno == EINTR))
+			return;
+		if (n <= 0) {
+			link_close(l);
+			return;
+		}
+		l->in.len += (size_t)n;
+		if (!take_frames(l)) {
+			mu_log(MU_LOG_WARN, "mesh", "malformed_frame", NULL);
+			link_close(l);
+			return;
+		}
+	} while (n == READ_BYTES && !l->closed);
+}
+
+static void
+on_link(void *arg, uint32_t events)
+{
+	struct mu_mesh_link *l = mu_mesh_hold(arg);
+	socklen_t len = sizeof(int);
+	int err = 0;
+
+	if (l->connecting) {
+		(void)getsockopt(l->watch.fd, SOL_SOCKET, SO_ERROR, &err, &len);
+		if (err != 0)
+			goto close;
+		l->connecting = false;
+		l->peer->connected = true;
+		set_up(l->mesh, l->peer);
+	}
+	if ((events & EPOLLOUT) != 0)
+		flush(l);
+	if (!l->closed && (events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0)
+		read_link(l);
+	mu_mesh_release(l);
+	return;
+close:
+	link_close(l);
+	mu_mesh_release(l);
+}
+
+static struct mu_mesh_link *
+link_new(struct mu_mesh *m, int fd, uint32_t events)
+{
+	struct mu_mesh_link *l = calloc(1, sizeof(*l));
+	int on = 1, unacked = (int)m->conf.silence_ms;
+
+	if (l == NULL) {
+		(void)close(fd);
+		return NULL;
+	}
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	(void)setsockopt(
+	    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked, sizeof(unacked));
+	l->mesh = m;
+	l->references = 1;
+	l->opened = mu_loop_now(m->loop);
+	l->watch.fd = fd;
+	l->watch.events = events;
+	l->watch.fn = on_link;
+	l->watch.arg = l;
+	CDS_INIT_LIST_HEAD(&l->asks);
+	cds_list_add(&l->node, &m->links);
+	(void)mu_watch_add(m->loop, &l->watch);
+	return l;
+}
+
+static int
+socket_for(const char *addr, struct sockaddr_in *sin)
+{
+	char ip[MU_ADDR_LEN];
+	uint16_t port;
+
+	memset(sin, 0, sizeof(*sin));
+	sin->sin_family = AF_INET;
+	if (mu_addr_parse(addr, ip, &port) != 0 ||
+	    inet_pton(AF_INET, ip, &sin->sin_addr) != 1)
+		return -1;
+	sin->sin_port = htons(port);
+	return socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+}
+
+static void
+dial(struct mu_mesh *m, struct mu_peer *p)
+{
+	struct sockaddr_in sin;
+	int fd = socket_for(p->addr, &sin);
+
+	p->dial_at = mu_loop_now(m->loop) + DIAL_US;
+	if (fd < 0)
+		return;
+	if (connect(fd, (struct sockaddr *)&sin, sizeof(sin)) != 0 &&
+	    errno != EINPROGRESS) {
+		(void)close(fd);
+		return;
+	}
+	p->link = link_new(m, fd, EPOLLOUT);
+	if (p->link == NULL)
+		return;
+	p->link->peer = p;
+	p->link->connecting = true;
+}
+
+static void
+on_accept(void *arg, uint32_t events __attribute__((unused)))
+{
+	struct mu_mesh *m = arg;
+	int fd;
+
+	while ((fd = accept4(m->listener.fd, NULL, NULL,
+		    SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0)
+		(void)link_new(m, fd, EPOLLIN);
+}
+
+void
+mu_mesh_beat(struct mu_mesh *m)
+{
+	Mu__Frame f = MU__FRAME__INIT;
+	Mu__Beat *b = malloc(sizeof(*b));
+	struct mu_peer *p;
+
+	if (b == NULL)
+		return;
+	mu__beat__init(b);
+	b->host = strdup(m->host);
+	b->incarnation = m->conf.incarnation;
+	m->hooks.fill(m->hooks.arg, b);
+	f.body_case = MU__FRAME__BODY_BEAT;
+	f.beat = b;
+	cds_list_for_each_entry (p, &m->peers, node)
+		if (p->connected)
+			(void)post(p->link, &f);
+	mu__beat__free_unpacked(b, NULL);
+}
+
+static void
+on_timer(void *arg)
+{
+	struct mu_mesh *m = arg;
+	mu_us now = mu_loop_now(m->loop);
+	struct mu_peer *p;
+
+	mu_mesh_beat(m);
+	cds_list_for_each_entry (p, &m->peers, node) {
+		if (p->link != NULL && p->link->connecting &&
+		    now - p->link->opened > CONNECT_US)
+			link_close(p->link);
+		if (p->link == NULL && now >= p->dial_at)
+			dial(m, p);
+		set_up(m, p);
+	}
+	mu_timer_set(
+	    m->loop, &m->timer, now + m->conf.heartbeat_ms * MU_US_PER_MS);
+}
+
+int
+mu_mesh_new(struct mu_mesh **out, struct mu_loop *l,
+    const struct mu_mesh_conf *conf, const struct mu_mesh_hooks *hooks,
+    struct mu_error *e)
+{
+	struct mu_mesh *m = calloc(1, sizeof(*m));
+	struct sockaddr_in sin;
+	int on = 1;
+
+	if (m == NULL)
+		return mu_fail(
+		    e, MU_E_NOMEM, MU_OUTCOME_NOT_RUN, 0, "no memory");
+	m->loop = l;
+	m->conf = *conf;
+	m->hooks = *hooks;
+	strncpy(m->host, conf->host, sizeof(m->host) - 1);
+	CDS_INIT_LIST_HEAD(&m->peers);
+	CDS_INIT_LIST_HEAD(&m->links);
+	m->listener.fd = socket_for(conf->listen, &sin);
+	m->listener.events = EPOLLIN;
+	m->listener.fn = on_accept;
+	m->listener.arg = m;
+	m->timer.fn = on_timer;
+	m->timer.arg = m;
+	if (m->listener.fd < 0)
+		goto fail;
+	(void)setsockopt(
+	    m->listener.fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(m->listener.fd, (struct sockaddr *)&sin, sizeof(sin)) != 0 ||
+	    listen(m->listener.fd, BACKLOG) != 0 ||
+	    mu_watch_add(l, &m->listener) != 0)
+		goto fail;
+	mu_timer_set(l, &m->timer, mu_loop_now(l));
+	*out = m;
+	return 0;
+fail:
+	if (m->listener.fd >= 0)
+		(void)close(m->listener.fd);
+	free(m);
+	return mu_fail(e, MU_E_SYSTEM, MU_OUTCOME_NOT_RUN, 0,
+	    "cannot listen on %s", conf->listen);
+}
+
+void
+mu_mesh_free(struct mu_mesh *m)
+{
+	struct mu_mesh_link *l, *next;
+	struct mu_peer *p, *after;
+
+	if (m == NULL)
+		return;
+	mu_timer_clear(m->loop, &m->timer);
+	cds_list_for_each_entry_safe (l, next, &m->links, node)
+		link_close(l);
+	cds_list_for_each_entry_safe (p, after, &m->peers, node) {
+		if (p->beat != NULL)
+			mu__beat__free_unpacked(p->beat, NULL);
+		free(p);
+	}
+	mu_watch_del(m->loop, &m->listener);
+	(void)close(m->listener.fd);
+	free(m);
+}
+
+static void
+copy_text(char *to, size_t size, const char *from)
+{
+	(void)strncpy(to, from, size - 1);
+	to[size - 1] = '\0';
+}
+
+void
+mu_mesh_learn(struct mu_mesh *m, const Mu__DaemonRow *row)
+{
+	struct mu_peer *p;
+
+	if (strcmp(row->host, m->host) == 0)
+		return;
+	p = mu_mesh_peer(m, row->host);
+	if (p == NULL) {
+		p = calloc(1, sizeof(*p));
+		if (p == NULL)
+			return;
+		copy_text(p->host, sizeof(p->host), row->host);
+		cds_list_add_tail(&p->node, &m->peers);
+	}
+	if (strcmp(p->addr, row->mesh_addr) != 0 && p->link != NULL)
+		link_close(p->link);
+	if (p->incarnation != row->incarnation)
+		p->dial_at = 0;
+	copy_text(p->addr, sizeof(p->addr), row->mesh_addr);
+	copy_text(p->caller_addr, sizeof(p->caller_addr), row->caller_addr);
+	copy_text(p->domain, sizeof(p->domain), row->domain);
+	p->listed = true;
+	if (p->link == NULL && p->dial_at <= mu_loop_now(m->loop))
+		dial(m, p);
+}
+
+void
+mu_mesh_forget(struct mu_mesh *m, const char *host)
+{
+	struct mu_peer *p = mu_mesh_peer(m, host);
+
+	if (p == NULL)
+		return;
+	if (p->link != NULL)
+		link_close(p->link);
+	cds_list_del(&p->node);
+	if (p->beat != NULL)
+		mu__beat__free_unpacked(p->beat, NULL);
+	free(p);
+}
+
+struct cds_list_head *
+mu_mesh_peers(struct mu_mesh *m)
+{
+	return &m->peers;
+}
+
+struct mu_peer *
+mu_mesh_peer(struct mu_mesh *m, const char *host)
+{
+	struct mu_peer *p;
+
+	cds_list_for_each_entry (p, &m->peers, node)
+		if (strcmp(p->host, host) == 0)
+			return p;
+	return NULL;
+}
+
+bool
+mu_mesh_send(struct mu_mesh *m __attribute__((unused)), struct mu_peer *p,
+    const Mu__Frame *f)
+{
+	return p->connected && post(p->link, f);
+}
+
+static void
+on_ask_timer(void *arg)
+{
+	ask_end(arg, NULL);
+}
+
+bool
+mu_mesh_ask(struct mu_mesh *m, struct mu_peer *p, Mu__Frame *f, mu_us deadline,
+    mu_mesh_fn fn, void *arg)
+{
+	struct ask *a;
+
+	if (!p->connected || (a = calloc(1, sizeof(*a))) == NULL)
+		return false;
+	a->id = ++m->next_id;
+	if (f->body_case == MU__FRAME__BODY_BEGIN)
+		f->begin->id = a->id;
+	else
+		f->relay->id = a->id;
+	if (!post(p->link, f)) {
+		free(a);
+		return false;
+	}
+	a->loop = m->loop;
+	a->fn = fn;
+	a->arg = arg;
+	a->timer.fn = on_ask_timer;
+	a->timer.arg = a;
+	mu_timer_set(m->loop, &a->timer, deadline);
+	cds_list_add_tail(&a->node, &p->link->asks);
+	return true;
+}
+
+void
+mu_mesh_reply(struct mu_mesh_link *l, const Mu__Frame *f)
+{
+	(void)post(l, f);
+}
--- /dev/null
+++ b/src/mesh.h
@@ -0,0 +1,91 @@
+/*
+ * mesh.h -- links between the daemons of the serving path, on the loop.
+ *
+ * Each daemon dials every other one that it knows, sends its heartbeats and
+ * requests over the link that it dialled, and gets the replies there.  A peer
+ * is up while that link stands and its own heartbeats have been heard within
+ * the silence limit.
+ */
+#ifndef MU_MESH_H
+#define MU_MESH_H
+
+#include <urcu/list.h>
+
+#include "loop.h"
+#include "peer.pb-c.h"
+
+struct mu_mesh;
+struct mu_mesh_link; /* where a request came from */
+
+struct mu_peer {
+	struct cds_list_head node;
+	char host[MU_NAME_LEN];
+	char addr[MU_ADDR_LEN]; /* mesh port */
+	char caller_addr[MU_ADDR_LEN];
+	char domain[MU_NAME_LEN];
+	uint64_t incarnation;
+	mu_us heard; /* last heartbeat; 0: none */
+	bool connected;
+	bool up;
+	bool leaving;
+	bool ready;
+	bool store_ok;
+	bool listed; /* in the newest list of daemons */
+	uint64_t config_version;
+	Mu__Beat *beat; /* the last one; NULL: none */
+	struct mu_mesh_link *link; /* dialled by this daemon */
+	mu_us dial_at;
+};
+
+struct mu_mesh_conf {
+	const char *host;
+	const char *listen; /* IP:PORT */
+	uint64_t incarnation;
+	uint32_t heartbeat_ms;
+	uint32_t silence_ms;
+};
+
+struct mu_mesh_hooks {
+	void *arg;
+	/* Fills a heartbeat; its memory is freed as that of an unpacked one. */
+	void (*fill)(void *arg, Mu__Beat *b);
+	/* May be NULL. */
+	void (*heard)(void *arg, struct mu_peer *p);
+	void (*changed)(void *arg, struct mu_peer *p); /* up or down */
+	/* A BEGIN, SETTLE or RELAY. */
+	void (*request)(
+	    void *arg, struct mu_mesh_link *from, const Mu__Frame *f);
+};
+
+/* reply is NULL when the link ended or the time ran out. */
+typedef void (*mu_mesh_fn)(void *arg, const Mu__Frame *reply);
+
+int mu_mesh_new(struct mu_mesh **m, struct mu_loop *l,
+    const struct mu_mesh_conf *conf, const struct mu_mesh_hooks *hooks,
+    struct mu_error *e);
+void mu_mesh_free(struct mu_mesh *m);
+
+/* Adds or updates a peer; a NULL row marks all as unlisted. */
+void mu_mesh_learn(struct mu_mesh *m, const Mu__DaemonRow *row);
+void mu_mesh_forget(struct mu_mesh *m, const char *host);
+struct cds_list_head *mu_mesh_peers(struct mu_mesh *m);
+struct mu_peer *mu_mesh_peer(struct mu_mesh *m, const char *host);
+/* Sends a heartbeat to every peer now. */
+void mu_mesh_beat(struct mu_mesh *m);
+
+/* Sends without an answer; false when the peer's link is down. */
+bool mu_mesh_send(struct mu_mesh *m, struct mu_peer *p, const Mu__Frame *f);
+/*
+ * Sends a BEGIN or RELAY, whose id is set here, and waits for the reply.
+ * False when the link is down; fn is not called then.  fn is never called from
+ * within this function.
+ */
+bool mu_mesh_ask(struct mu_mesh *m, struct mu_peer *p, Mu__Frame *f,
+    mu_us deadline, mu_mesh_fn fn, void *arg);
+/* A reference to the link of a request; valid until released. */
+struct mu_mesh_link *mu_mesh_hold(struct mu_mesh_link *l);
+void mu_mesh_release(struct mu_mesh_link *l);
+/* Replies over the link of a request; dropped when it has ended. */
+void mu_mesh_reply(struct mu_mesh_link *l, const Mu__Frame *f);
+
+#endif
--- /dev/null
+++ b/src/reaper.c
@@ -0,0 +1,138 @@
+/*
+ * reaper.c -- removes rows from the store when they have been kept long enough.
+ *
+ * The daemon that wrote a row removes it, in batches of rows of one part.  The
+ * list of rows due lies in memory: what a daemon wrote before it died stays.
+ */
+#include <stdlib.h>
+#include <string.h>
+#include <urcu/list.h>
+
+#include "log.h"
+#include "reaper.h"
+
+#define EVERY_US (10 * MU_US_PER_S)
+#define MARGIN_US (60 * MU_US_PER_S) /* a returning caller may be late */
+#define LIMIT_US (2 * MU_US_PER_S) /* of one removal; then the rows stay */
+#define BATCH_ROWS 100 /* rows of one write, by the platform */
+
+struct due {
+	struct cds_list_head node; /* about in order of time */
+	const char *table;
+	const char *part;
+	char *key;
+	mu_us at;
+};
+
+struct mu_reaper {
+	struct mu_loop *loop;
+	struct mu_store *store;
+	struct cds_list_head rows;
+	struct mu_timer timer;
+};
+
+static void
+on_removed(void *arg __attribute__((unused)), const Mu__StoreResult *r)
+{
+	if (r->status != MU__STORE_RESULT__STATUS__DONE)
+		mu_log(MU_LOG_WARN, "reaper", "remove_failed", "{s:i}",
+		    "status", (int)r->status);
+}
+
+static void
+due_free(struct due *d)
+{
+	cds_list_del(&d->node);
+	free(d->key);
+	free(d);
+}
+
+/* Removes up to one batch of rows of one part; false when none is due. */
+static bool
+remove_batch(struct mu_reaper *r)
+{
+	Mu__StoreOp op = MU__STORE_OP__INIT;
+	Mu__StoreRow rows[BATCH_ROWS], *gone[BATCH_ROWS];
+	struct due *due[BATCH_ROWS], *d;
+	mu_us now = mu_loop_now(r->loop);
+	size_t i;
+
+	cds_list_for_each_entry (d, &r->rows, node) {
+		if (d->at > now || op.n_remove == BATCH_ROWS)
+			break;
+		if (op.n_remove > 0 && strcmp(d->part, due[0]->part) != 0)
+			continue;
+		due[op.n_remove] = d;
+		gone[op.n_remove] = &rows[op.n_remove];
+		mu__store_row__init(&rows[op.n_remove]);
+		rows[op.n_remove].table = (char *)(uintptr_t)d->table;
+		rows[op.n_remove].part = (char *)(uintptr_t)d->part;
+		rows[op.n_remove].key = d->key;
+		op.n_remove++;
+	}
+	if (op.n_remove == 0)
+		return false;
+	op.kind = MU__STORE_OP__KIND__WRITE;
+	op.remove = gone;
+	mu_store_run(r->store, &op, now + LIMIT_US, on_removed, NULL);
+	for (i = 0; i < op.n_remove; i++)
+		due_free(due[i]);
+	return true;
+}
+
+static void
+on_timer(void *arg)
+{
+	struct mu_reaper *r = arg;
+
+	while (remove_batch(r))
+		continue;
+	mu_timer_set(r->loop, &r->timer, mu_loop_now(r->loop) + EVERY_US);
+}
+
+struct mu_reaper *
+mu_reaper_new(struct mu_loop *l, struct mu_store *s)
+{
+	struct mu_reaper *r = calloc(1, sizeof(*r));
+
+	if (r == NULL)
+		return NULL;
+	r->loop = l;
+	r->store = s;
+	CDS_INIT_LIST_HEAD(&r->rows);
+	r->timer.fn = on_timer;
+	r->timer.arg = r;
+	mu_timer_set(l, &r->timer, mu_loop_now(l) + EVERY_US);
+	return r;
+}
+
+void
+mu_reaper_free(struct mu_reaper *r)
+{
+	struct due *d, *next;
+
+	if (r == NULL)
+		return;
+	cds_list_for_each_entry_safe (d, next, &r->rows, node)
+		due_free(d);
+	mu_timer_clear(r->loop, &r->timer);
+	free(r);
+}
+
+void
+mu_reaper_add(struct mu_reaper *r, const char *table, const char *part,
+    const char *key, mu_us keep)
+{
+	struct due *d = calloc(1, sizeof(*d));
+
+	if (d == NULL || (d->key = strdup(key)) == NULL) {
+		free(d);
+		mu_log(MU_LOG_WARN, "reaper", "out_of_memory", "{s:s}", "key",
+		    key);
+		return; /* the row stays */
+	}
+	d->table = table;
+	d->part = part;
+	d->at = mu_loop_now(r->loop) + keep + MARGIN_US;
+	cds_list_add_tail(&d->node, &r->rows);
+}
--- /dev/null
+++ b/src/serve.c
@@ -0,0 +1,403 @@
+/*
+ * serve.c -- the serving path's parts together, and what it learns of the
+ * world: configuration, endpoints and other daemons, each from a table.
+ *
+ * A daemon announces itself with a row of its own table and finds the others
+ * there; whether they live, it hears on the mesh.  One that the store does not
+ * answer reads and writes through a peer that it does answer.
+ */
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "call.h"
+#include "log.h"
+#include "metric.h"
+#include "serve.h"
+
+#define DAEMON_TABLE "daemons"
+#define CONFIG_WAIT_MS \
+	1000 /* a change is seen at once; a silent connection \
+		after this and an answer's limit */
+#define ENDPOINT_EVERY_MS \
+	400 /* several within the time that an endpoint \
+	       serves on after it says that it leaves */
+#define DAEMON_WAIT_MS 2000
+#define HEARTBEAT_MS 200
+#define SILENCE_MS 700 /* three heartbeats and the way */
+#define HISTORY_BYTES ((size_t)32 << 20) /* a fifth of the smallest host */
+#define ANNOUNCE_LIMIT_US (2 * MU_US_PER_S)
+#define ANNOUNCE_AGAIN_US (200 * MU_US_PER_MS)
+
+/* Configuration. */
+
+static void
+list_ignore(void *arg __attribute__((unused)))
+{
+}
+
+static void
+on_config_row(void *arg, const Mu__StoreRow *row)
+{
+	struct mu_serve *s = arg;
+	struct mu_routes *r;
+
+	if (strcmp(row->key, s->dialect->config_key) != 0 || row->removed)
+		return;
+	r = s->dialect->read_routes(row);
+	if (r == NULL) {
+		mu_log(MU_LOG_ERROR, "serve", "config_unreadable", "{s:I}",
+		    "ver", (json_int_t)row->ver);
+		return;
+	}
+	if (s->routes != NULL && r->version <= s->routes->version) {
+		mu_routes_unref(r);
+		return;
+	}
+	mu_log(MU_LOG_INFO, "serve", "config_in_force", "{s:I,s:I,s:i,s:i}",
+	    "version", (json_int_t)r->version, "before",
+	    s->routes != NULL ? (json_int_t)s->routes->version : 0, "routes",
+	    (int)r->nroutes, "services", (int)r->nservices);
+	mu_count(MU_M_CONFIGS, 1);
+	mu_routes_unref(s->routes);
+	s->routes = r;
+}
+
+/* Endpoints. */
+
+static void
+on_endpoints_begin(void *arg)
+{
+	struct mu_serve *s = arg;
+
+	mu_targets_list_begin(&s->targets);
+}
+
+static void
+retry_all(struct mu_serve *s)
+{
+	struct mu_hnode *n;
+	size_t i;
+
+	for (i = 0; i < s->targets.groups.nbuckets; i++)
+		for (n = s->targets.groups.bucket[i]; n != NULL; n = n->next)
+			mu_call_retry_waiting(
+			    s, MU_OWNER(n, struct mu_group, node));
+}
+
+static void
+on_endpoints_end(void *arg)
+{
+	struct mu_serve *s = arg;
+
+	mu_targets_list_end(&s->targets);
+	s->endpoints_known = true;
+	retry_all(s);
+}
+
+static void
+on_endpoint_row(void *arg, const Mu__StoreRow *row)
+{
+	struct mu_serve *s = arg;
+	struct mu_target_info info;
+
+	if (row->removed) {
+		mu_targets_remove(&s->targets, row->key);
+	} else if (s->dialect->read_endpoint(row, &info)) {
+		mu_targets_learn(&s->targets, &info);
+	} else {
+		mu_log(MU_LOG_WARN, "serve", "endpoint_unreadable", "{s:s}",
+		    "key", row->key);
+		mu_targets_remove(&s->targets, row->key);
+	}
+}
+
+/* Other daemons. */
+
+static void
+on_daemon_row(void *arg, const Mu__StoreRow *row)
+{
+	struct mu_serve *s = arg;
+	Mu__DaemonRow *d;
+
+	if (row->removed) {
+		mu_mesh_forget(s->mesh, row->key);
+		return;
+	}
+	d = mu__daemon_row__unpack(NULL, row->value.len, row->value.data);
+	if (d == NULL || strcmp(d->host, row->key) != 0)
+		mu_log(MU_LOG_WARN, "serve", "daemon_unreadable", "{s:s}",
+		    "key", row->key);
+	else
+		mu_mesh_learn(s->mesh, d);
+	if (d != NULL)
+		mu__daemon_row__free_unpacked(d, NULL);
+}
+
+static void
+fill_beat(void *arg, Mu__Beat *b)
+{
+	struct mu_serve *s = arg;
+
+	b->leaving = s->leaving;
+	b->ready = mu_serve_ready(s);
+	b->config_version = s->routes != NULL ? s->routes->version : 0;
+	b->store_ok = mu_store_ok(s->store);
+}
+
+/* Operations of peers that the store does not answer. */
+
+struct relayed {
+	struct mu_mesh_link *from;
+	uint64_t id;
+};
+
+static void
+on_relayed(void *arg, const Mu__StoreResult *r)
+{
+	struct relayed *q = arg;
+	Mu__Frame f = MU__FRAME__INIT;
+	Mu__Relayed m = MU__RELAYED__INIT;
+
+	m.id = q->id;
+	m.result.len = mu__store_result__get_packed_size(r);
+	m.result.data = malloc(m.result.len + 1);
+	if (m.result.data != NULL) {
+		(void)mu__store_result__pack(r, m.result.data);
+		f.body_case = MU__FRAME__BODY_RELAYED;
+		f.relayed = &m;
+		mu_mesh_reply(q->from, &f);
+	}
+	free(m.result.data);
+	mu_mesh_release(q->from);
+	free(q);
+}
+
+static void
+relay_for(struct mu_serve *s, struct mu_mesh_link *from, const Mu__Relay *m)
+{
+	Mu__StoreOp *op = mu__store_op__unpack(NULL, m->op.len, m->op.data);
+	struct relayed *q = calloc(1, sizeof(*q));
+
+	if (op == NULL || q == NULL) {
+		mu_log(MU_LOG_WARN, "serve", "relay_unreadable", NULL);
+		free(q);
+	} else {
+		q->from = mu_mesh_hold(from);
+		q->id = m->id;
+		mu_store_run_once(s->store, op, on_relayed, q);
+	}
+	if (op != NULL)
+		mu__store_op__free_unpacked(op, NULL);
+}
+
+static struct mu_peer *
+relay_peer(struct mu_serve *s)
+{
+	struct mu_peer *p;
+
+	cds_list_for_each_entry (p, mu_mesh_peers(s->mesh), node)
+		if (p->up && p->store_ok)
+			return p;
+	return NULL;
+}
+
+static bool
+relay_available(void *arg)
+{
+	return relay_peer(arg) != NULL;
+}
+
+struct relaying {
+	mu_store_fn done;
+	void *arg;
+};
+
+static void
+on_relay_reply(void *arg, const Mu__Frame *f)
+{
+	struct relaying *q = arg;
+	Mu__StoreResult lost = MU__STORE_RESULT__INIT, *r = NULL;
+
+	if (f != NULL && f->relayed->result.len > 0)
+		r = mu__store_result__unpack(
+		    NULL, f->relayed->result.len, f->relayed->result.data);
+	lost.status = MU__STORE_RESULT__STATUS__UNKNOWN;
+	q->done(q->arg, r != NULL ? r : &lost);
+	if (r != NULL)
+		mu__store_result__free_unpacked(r, NULL);
+	free(q);
+}
+
+static void
+relay_run(void *arg, const Mu__StoreOp *op, uint32_t limit_ms, mu_store_fn done,
+    void *done_arg)
+{
+	struct mu_serve *s = arg;
+	struct mu_peer *p = relay_peer(s);
+	struct relaying *q = calloc(1, sizeof(*q));
+	Mu__Frame f = MU__FRAME__INIT;
+	Mu__Relay m = MU__RELAY__INIT;
+	bool sent = false;
+
+	if (q == NULL)
+		abort();
+	q->done = done;
+	q->arg = done_arg;
+	m.op.len = mu__store_op__get_packed_size(op);
+	m.op.data = malloc(m.op.len + 1);
+	if (m.op.data != NULL && p != NULL) {
+		(void)mu__store_op__pack(op, m.op.data);
+		f.body_case = MU__FRAME__BODY_RELAY;
+		f.relay = &m;
+		sent = mu_mesh_ask(s->mesh, p, &f,
+		    mu_loop_now(s->loop) + 2 * limit_ms * MU_US_PER_MS,
+		    on_relay_reply, q);
+	}
+	free(m.op.data);
+	if (sent)
+		return;
+	free(q);
+	mu_store_run_once(s->store, op, done, done_arg);
+}
+
+static void
+on_request(void *arg, struct mu_mesh_link *from, const Mu__Frame *f)
+{
+	struct mu_serve *s = arg;
+
+	switch (f->body_case) {
+	case MU__FRAME__BODY_BEGIN:
+		mu_home_on_begin(s->home, from, f->begin);
+		break;
+	case MU__FRAME__BODY_SETTLE:
+		mu_home_on_settle(s->home, f->settle);
+		break;
+	case MU__FRAME__BODY_RELAY:
+		relay_for(s, from, f->relay);
+		break;
+	default:
+		break;
+	}
+}
+
+/* This daemon's row. */
+
+static void
+on_announced(void *arg, const Mu__StoreResult *r)
+{
+	struct mu_serve *s = arg;
+
+	s->announced = r->status == MU__STORE_RESULT__STATUS__DONE;
+	if (s->announced)
+		return;
+	mu_log(MU_LOG_WARN, "serve", "announce_failed", "{s:i}", "status",
+	    (int)r->status);
+	mu_timer_set(
+	    s->loop, &s->announce, mu_loop_now(s->loop) + ANNOUNCE_AGAIN_US);
+}
+
+static void
+announce(void *arg)
+{
+	struct mu_serve *s = arg;
+	Mu__StoreOp op = MU__STORE_OP__INIT;
+	Mu__StoreRow put = MU__STORE_ROW__INIT, *puts[] = {&put};
+	Mu__DaemonRow d = MU__DAEMON_ROW__INIT;
+	uint8_t value[512];
+
+	d.host = (char *)(uintptr_t)s->conf.host;
+	d.incarnation = s->conf.incarnation;
+	d.domain = (char *)(uintptr_t)s->conf.domain;
+	d.mesh_addr = (char *)(uintptr_t)s->conf.mesh_addr;
+	d.caller_addr = (char *)(uintptr_t)s->conf.caller_addr;
+	if (mu__daemon_row__get_packed_size(&d) > sizeof(value))
+		return;
+	put.table = (char *)(uintptr_t)DAEMON_TABLE;
+	put.key = d.host;
+	put.value.data = value;
+	put.value.len = mu__daemon_row__pack(&d, value);
+	op.kind = MU__STORE_OP__KIND__WRITE;
+	op.n_put = 1;
+	op.put = puts;
+	mu_store_run(s->store, &op, mu_loop_now(s->loop) + ANNOUNCE_LIMIT_US,
+	    on_announced, s);
+}
+
+/* Opening and closing. */
+
+static bool
+open_follows(struct mu_serve *s)
+{
+	struct mu_follow_conf config = {s->dialect->config_table,
+	    CONFIG_WAIT_MS, 0, s, list_ignore, list_ignore, on_config_row};
+	struct mu_follow_conf endpoints = {s->dialect->endpoint_table, 0,
+	    ENDPOINT_EVERY_MS, s, on_endpoints_begin, on_endpoints_end,
+	    on_endpoint_row};
+	struct mu_follow_conf daemons = {DAEMON_TABLE, DAEMON_WAIT_MS, 0, s,
+	    list_ignore, list_ignore, on_daemon_row};
+
+	s->follow_config = mu_follow_new(s->loop, s->store, &config);
+	s->follow_endpoints = mu_follow_new(s->loop, s->store, &endpoints);
+	s->follow_daemons = mu_follow_new(s->loop, s->store, &daemons);
+	return s->follow_config != NULL && s->follow_endpoints != NULL &&
+	       s->follow_daemons != NULL;
+}
+
+int
+mu_serve_open(struct mu_serve *s, struct mu_loop *l,
+    const struct mu_store_backend *backend, struct mu_error *e)
+{
+	struct mu_mesh_conf mc = {s->conf.host, s->conf.mesh_addr,
+	    s->conf.incarnation, HEARTBEAT_MS, SILENCE_MS};
+	struct mu_mesh_hooks hooks = {s, fill_beat, NULL, NULL, on_request};
+	struct mu_home_conf hc = {
+	    s->conf.host, s->conf.domain, s->conf.incarnation};
+	struct mu_store_relay relay = {s, relay_available, relay_run};
+	int rc;
+
+	s->loop = l;
+	s->store = mu_store_new(l, backend);
+	if (s->store == NULL || mu_targets_init(&s->targets, l, s->conf.domain,
+				    s->conf.incarnation) != 0)
+		goto nomem;
+	rc = mu_mesh_new(&s->mesh, l, &mc, &hooks, e);
+	if (rc != 0)
+		return rc;
+	mu_store_set_relay(s->store, &relay);
+	s->reaper = mu_reaper_new(l, s->store);
+	s->history = mu_history_new(l, s->store, s->reaper, HISTORY_BYTES);
+	s->home = mu_home_new(l, s->store, s->reaper, s->mesh, s->history, &hc);
+	if (s->reaper == NULL || s->history == NULL || s->home == NULL ||
+	    !open_follows(s))
+		goto nomem;
+	s->announce.fn = announce;
+	s->announce.arg = s;
+	mu_timer_set(l, &s->announce, mu_loop_now(l));
+	return 0;
+nomem:
+	return mu_fail(e, MU_E_NOMEM, MU_OUTCOME_NOT_RUN, 0, "no memory");
+}
+
+void
+mu_serve_leave(struct mu_serve *s)
+{
+	s->leaving = true;
+	mu_mesh_beat(s->mesh);
+}
+
+void
+mu_serve_close(struct mu_serve *s)
+{
+	mu_follow_free(s->follow_config);
+	mu_follow_free(s->follow_endpoints);
+	mu_follow_free(s->follow_daemons);
+	mu_timer_clear(s->loop, &s->announce);
+	mu_home_free(s->home);
+	mu_history_free(s->history);
+	mu_reaper_free(s->reaper);
+	mu_mesh_free(s->mesh);
+	mu_targets_clear(&s->targets);
+	mu_routes_unref(s->routes);
+	mu_store_free(s->store);
+}
--- a/src/sse.c
+++ b/src/sse.c
@@ -26,6 +26,7 @@
 {
 	free(s->line.p);
 	free(s->data.p);
+	free(s->id.p);
 	mu_sse_init(s, s->max);
 }
 
@@ -54,22 +55,43 @@
 	return 0;
 }
 
-/* Takes the value of a "data" line into the event. */
+/* Value of a line of the field name in *p; false when it is another field. */
+static bool
+field_value(
+    const struct mu_sse_buf *line, const char *name, const char **p, size_t *n)
+{
+	size_t len = strlen(name);
+
+	if (line->len < len || memcmp(line->p, name, len) != 0 ||
+	    (line->len > len && line->p[len] != ':'))
+		return false;
+	*p = line->p + len;
+	*n = line->len - len;
+	if (*n > 0) {
+		(*p)++;
+		(*n)--;
+	}
+	if (*n > 0 && **p == ' ') {
+		(*p)++;
+		(*n)--;
+	}
+	return true;
+}
+
+/* Takes the value of a "data" or "id" line into the event. */
 static int
 take_line(struct mu_sse *s)
 {
-	const char *p = s->line.p;
-	size_t n = s->line.len;
+	const char *p;
+	size_t n;
 	int rc;
 
-	if (n < 4 || memcmp(p, "data", 4) != 0 || (n > 4 && p[4] != ':'))
-		return 0;
-	p += n > 4 ? 5 : 4;
-	n -= n > 4 ? 5 : 4;
-	if (n > 0 && *p == ' ') {
-		p++;
-		n--;
+	if (field_value(&s->line, "id", &p, &n)) {
+		s->id.len = 0;
+		return append(&s->id, p, n, s->max);
 	}
+	if (!field_value(&s->line, "data", &p, &n))
+		return 0;
 	if (s->has_data) {
 		rc = append(&s->data, "\n", 1, s->max);
 		if (rc != 0)
@@ -119,6 +141,7 @@
 	while (len > 0) {
 		if (s->after_cr && *bytes == '\n') {
 			s->after_cr = false;
+			s->fed++;
 			bytes++;
 			len--;
 			continue;
@@ -128,8 +151,10 @@
 		rc = append(&s->line, bytes, n, s->max);
 		if (rc != 0)
 			return rc;
+		s->fed += n;
 		if (n == len)
 			return 0;
+		s->fed++;
 		s->after_cr = bytes[n] == '\r';
 		bytes += n + 1;
 		len -= n + 1;
--- a/src/sse.h
+++ b/src/sse.h
@@ -16,6 +16,9 @@
 	size_t max; /* longest line and longest event, bytes */
 	struct mu_sse_buf line; /* the line being read */
 	struct mu_sse_buf data; /* the event being read */
+	struct mu_sse_buf id; /* last event id so far; may be empty */
+	size_t fed; /* bytes read, the line end of an event's last line
+		       included while on_event runs */
 	bool has_data;
 	bool after_cr;
 };
--- /dev/null
+++ b/src/store.c
@@ -0,0 +1,261 @@
+/*
+ * store.c -- operations on the platform's table store.
+ *
+ * Load that this answers: a store that is slow, loses answers, or serves some
+ * daemons only, while turns wait for their records.  An answer that is lost is
+ * told from a slow store by the smoothed time of answers: an attempt waits a
+ * few times as long, and twice as long after each miss (RFC 6298 does the same
+ * for TCP).  After two failures in a row operations go through a peer that the
+ * store answers, and the direct way is tried again from time to time.
+ */
+#include <jansson.h>
+#include <stdlib.h>
+
+#include "log.h"
+#include "metric.h"
+#include "store.h"
+
+#define RTT_FACTOR 5 /* a usual answer's time; spreads widely under load */
+#define LIMIT_FLOOR_MS 50 /* ten times a transaction of the platform */
+#define LIMIT_CAP_MS 2000
+#define MISS_SHIFT_MAX 5
+#define RETRY_FIRST_MS 15 /* about the time until the next free turn */
+#define RETRY_CAP_MS 250
+#define DIRECT_AGAIN_US (400 * MU_US_PER_MS) /* relayed until then */
+#define FAILURES_TO_RELAY 2
+#define START_RTT_US (10 * MU_US_PER_MS) /* before the first answer */
+
+struct mu_store {
+	struct mu_loop *loop;
+	struct mu_store_backend backend;
+	struct mu_store_relay relay;
+	mu_us rtt;
+	unsigned misses; /* direct attempts without an answer, in a row */
+	unsigned failures; /* direct attempts failed, in a row */
+	mu_us direct_at; /* when the direct way is tried again */
+	unsigned pending;
+	bool ok;
+};
+
+struct op {
+	struct mu_store *s;
+	Mu__StoreOp *op;
+	mu_us deadline;
+	mu_us began; /* of the attempt */
+	bool relayed;
+	bool maybe; /* an attempt had no answer */
+	uint32_t backoff_ms;
+	struct mu_timer timer;
+	mu_store_fn done;
+	void *arg;
+};
+
+static void attempt(void *arg);
+
+struct mu_store *
+mu_store_new(struct mu_loop *l, const struct mu_store_backend *backend)
+{
+	struct mu_store *s = calloc(1, sizeof(*s));
+
+	if (s == NULL)
+		return NULL;
+	s->loop = l;
+	s->backend = *backend;
+	s->rtt = START_RTT_US;
+	return s;
+}
+
+void
+mu_store_set_relay(struct mu_store *s, const struct mu_store_relay *r)
+{
+	s->relay = *r;
+}
+
+void
+mu_store_free(struct mu_store *s)
+{
+	free(s);
+}
+
+bool
+mu_store_ok(const struct mu_store *s)
+{
+	return s->ok;
+}
+
+unsigned
+mu_store_pending(const struct mu_store *s)
+{
+	return s->pending;
+}
+
+uint32_t
+mu_store_limit_ms(mu_us rtt, unsigned misses)
+{
+	mu_us ms = rtt * RTT_FACTOR / MU_US_PER_MS;
+	unsigned shift = misses < MISS_SHIFT_MAX ? misses : MISS_SHIFT_MAX;
+
+	if (ms < LIMIT_FLOOR_MS)
+		ms = LIMIT_FLOOR_MS;
+	ms <<= shift;
+	return ms < LIMIT_CAP_MS ? (uint32_t)ms : LIMIT_CAP_MS;
+}
+
+static Mu__StoreOp *
+copy_op(const Mu__StoreOp *op)
+{
+	size_t n = mu__store_op__get_packed_size(op);
+	uint8_t *p = malloc(n + 1);
+	Mu__StoreOp *copy = NULL;
+
+	if (p != NULL) {
+		(void)mu__store_op__pack(op, p);
+		copy = mu__store_op__unpack(NULL, n, p);
+	}
+	free(p);
+	return copy;
+}
+
+static void
+set_ok(struct mu_store *s, bool ok, Mu__StoreResult__Status status)
+{
+	if (s->ok == ok)
+		return;
+	s->ok = ok;
+	mu_log(ok ? MU_LOG_INFO : MU_LOG_WARN, "store",
+	    ok ? "regained" : "lost", "{s:i,s:I,s:i}", "status", (int)status,
+	    "rtt_us", (json_int_t)s->rtt, "misses", (int)s->misses);
+}
+
+/* Learns from the end of a direct attempt. */
+static void
+learn(struct mu_store *s, const Mu__StoreOp *op, Mu__StoreResult__Status st,
+    mu_us took)
+{
+	switch (st) {
+	case MU__STORE_RESULT__STATUS__UNKNOWN:
+		s->misses++;
+		s->failures++;
+		break;
+	case MU__STORE_RESULT__STATUS__REFUSED:
+		s->failures++;
+		break;
+	default:
+		s->misses = 0;
+		s->failures = 0;
+		if (op->wait_ms == 0)
+			s->rtt += (took - s->rtt) / 8;
+		break;
+	}
+	if (s->failures >= FAILURES_TO_RELAY) {
+		set_ok(s, false, st);
+		s->direct_at = mu_loop_now(s->loop) + DIRECT_AGAIN_US;
+	} else if (s->failures == 0) {
+		set_ok(s, true, st);
+	}
+}
+
+static void
+finish(struct op *o, const Mu__StoreResult *r)
+{
+	mu_store_fn done = o->done;
+	void *arg = o->arg;
+
+	o->s->pending--;
+	mu_timer_clear(o->s->loop, &o->timer);
+	mu__store_op__free_unpacked(o->op, NULL);
+	free(o);
+	done(arg, r);
+}
+
+static bool
+repeatable(const Mu__StoreResult *r)
+{
+	return r->status == MU__STORE_RESULT__STATUS__UNKNOWN ||
+	       r->status == MU__STORE_RESULT__STATUS__REFUSED;
+}
+
+static void
+on_result(void *arg, const Mu__StoreResult *r)
+{
+	struct op *o = arg;
+	struct mu_store *s = o->s;
+	mu_us now = mu_loop_now(s->loop);
+	Mu__StoreResult last = MU__STORE_RESULT__INIT;
+
+	if (!o->relayed)
+		learn(s, o->op, r->status, now - o->began);
+	if (r->status == MU__STORE_RESULT__STATUS__UNKNOWN)
+		o->maybe = true;
+	if (!repeatable(r)) {
+		finish(o, r);
+		return;
+	}
+	if (now + o->backoff_ms * MU_US_PER_MS >= o->deadline) {
+		last.status = o->maybe ? MU__STORE_RESULT__STATUS__UNKNOWN
+				       : MU__STORE_RESULT__STATUS__REFUSED;
+		finish(o, &last);
+		return;
+	}
+	mu_timer_set(s->loop, &o->timer, now + o->backoff_ms * MU_US_PER_MS);
+	o->backoff_ms *= 2;
+	if (o->backoff_ms > RETRY_CAP_MS)
+		o->backoff_ms = RETRY_CAP_MS;
+}
+
+static bool
+use_relay(const struct mu_store *s)
+{
+	return s->relay.run != NULL && s->failures >= FAILURES_TO_RELAY &&
+	       mu_loop_now(s->loop) < s->direct_at &&
+	       s->relay.available(s->relay.arg);
+}
+
+static void
+attempt(void *arg)
+{
+	struct op *o = arg;
+	struct mu_store *s = o->s;
+	mu_us now = mu_loop_now(s->loop);
+	uint32_t limit = mu_store_limit_ms(s->rtt, s->misses);
+
+	o->began = now;
+	o->relayed = use_relay(s);
+	limit += o->op->wait_ms;
+	mu_count(o->op->kind == MU__STORE_OP__KIND__WRITE ? MU_M_PLATFORM_WRITES
+							  : MU_M_PLATFORM_READS,
+	    1);
+	if (o->relayed)
+		s->relay.run(s->relay.arg, o->op, limit, on_result, o);
+	else
+		s->backend.run(s->backend.arg, o->op, limit, on_result, o);
+}
+
+void
+mu_store_run(struct mu_store *s, const Mu__StoreOp *op, mu_us deadline,
+    mu_store_fn done, void *arg)
+{
+	struct op *o = calloc(1, sizeof(*o));
+
+	if (o == NULL || (o->op = copy_op(op)) == NULL) {
+		mu_log(MU_LOG_ERROR, "store", "out_of_memory", NULL);
+		abort();
+	}
+	o->s = s;
+	o->deadline = deadline;
+	o->backoff_ms = RETRY_FIRST_MS;
+	o->done = done;
+	o->arg = arg;
+	o->timer.fn = attempt;
+	o->timer.arg = o;
+	s->pending++;
+	attempt(o);
+}
+
+void
+mu_store_run_once(
+    struct mu_store *s, const Mu__StoreOp *op, mu_store_fn done, void *arg)
+{
+	s->backend.run(s->backend.arg, op,
+	    mu_store_limit_ms(s->rtt, s->misses) + op->wait_ms, done, arg);
+}
--- /dev/null
+++ b/src/store.h
@@ -0,0 +1,61 @@
+/*
+ * store.h -- the platform's table store as the serving path uses it.
+ *
+ * Operations are protobuf messages (proto/peer.proto, StoreOp), so that a
+ * daemon which the store does not serve can pass them on through a peer.  A
+ * backend runs one attempt; this module decides how long to wait for it, when
+ * to try again and which way.
+ */
+#ifndef MU_STORE_H
+#define MU_STORE_H
+
+#include "loop.h"
+#include "peer.pb-c.h"
+
+typedef void (*mu_store_fn)(void *arg, const Mu__StoreResult *r);
+
+/* Runs one attempt and calls done exactly once, never from within run(). */
+struct mu_store_backend {
+	void *arg;
+	void (*run)(void *arg, const Mu__StoreOp *op, uint32_t limit_ms,
+	    mu_store_fn done, void *done_arg);
+};
+
+/* The way through a peer; run() is as above and may refuse. */
+struct mu_store_relay {
+	void *arg;
+	bool (*available)(void *arg);
+	void (*run)(void *arg, const Mu__StoreOp *op, uint32_t limit_ms,
+	    mu_store_fn done, void *done_arg);
+};
+
+struct mu_store;
+
+struct mu_store *
+mu_store_new(struct mu_loop *l, const struct mu_store_backend *backend);
+void mu_store_set_relay(struct mu_store *s, const struct mu_store_relay *r);
+void mu_store_free(struct mu_store *s);
+
+/*
+ * Runs op until it is done, refused for good or deadline passes; an operation
+ * without an answer is sent again, so a write must bear being run twice: a
+ * CONFLICT may come from an earlier attempt of its own.  op is copied.  done
+ * is called once, never from within this function.
+ */
+void mu_store_run(struct mu_store *s, const Mu__StoreOp *op, mu_us deadline,
+    mu_store_fn done, void *arg);
+/* One attempt for a peer; never relayed further. */
+void mu_store_run_once(
+    struct mu_store *s, const Mu__StoreOp *op, mu_store_fn done, void *arg);
+/* Whether the store answered this daemon's last direct attempt. */
+bool mu_store_ok(const struct mu_store *s);
+/* Operations in progress. */
+unsigned mu_store_pending(const struct mu_store *s);
+
+/*
+ * How long to wait for one attempt: pure, for tests.  rtt is the smoothed time
+ * of an answer, misses the attempts without one since the last answer.
+ */
+uint32_t mu_store_limit_ms(mu_us rtt, unsigned misses);
+
+#endif
--- /dev/null
+++ b/src/targets.c
@@ -0,0 +1,282 @@
+/*
+ * targets.c -- endpoints of the serving path and what is believed of them.
+ *
+ * An endpoint's load is what this daemon has there plus what others had when
+ * the endpoint last told, which fades as the answer ages.  Health comes from
+ * answers only (eject.c), so that no probe is needed.
+ */
+#include <jansson.h>
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "log.h"
+#include "targets.h"
+
+#define FADE_US 1e6 /* others' requests: about some calls' time */
+#define START_CALL_US (150 * MU_US_PER_MS) /* until calls were timed */
+
+/* Short ejections: an endpoint that restarts is back within seconds, and a
+ * probe is one request among many. */
+const struct mu_eject_conf mu_targets_eject = {
+    .failures = 3,
+    .min_samples = 8,
+    .slow_factor = 3.0,
+    .slow_floor = 20 * MU_US_PER_MS,
+    .base = 500 * MU_US_PER_MS,
+    .cap = 4 * MU_US_PER_S,
+    .probe_timeout = 3 * MU_US_PER_S,
+};
+
+int
+mu_targets_init(
+    struct mu_targets *t, struct mu_loop *l, const char *domain, uint64_t seed)
+{
+	memset(t, 0, sizeof(*t));
+	t->loop = l;
+	t->rng = seed;
+	strncpy(t->domain, domain, sizeof(t->domain) - 1);
+	if (mu_hmap_init(&t->by_name) != 0)
+		return MU_E_NOMEM;
+	return mu_hmap_init(&t->groups);
+}
+
+struct mu_group *
+mu_targets_group(struct mu_targets *t, const char *service)
+{
+	struct mu_hnode *n = mu_hmap_find(&t->groups, service);
+	struct mu_group *g;
+
+	if (n != NULL)
+		return MU_OWNER(n, struct mu_group, node);
+	g = calloc(1, sizeof(*g));
+	if (g == NULL)
+		abort();
+	strncpy(g->name, service, sizeof(g->name) - 1);
+	g->node.key = g->name;
+	g->call = START_CALL_US;
+	CDS_INIT_LIST_HEAD(&g->targets);
+	CDS_INIT_LIST_HEAD(&g->waiting);
+	mu_hmap_add(&t->groups, &g->node);
+	return g;
+}
+
+static struct mu_target *
+find(struct mu_targets *t, const char *name)
+{
+	struct mu_hnode *n = mu_hmap_find(&t->by_name, name);
+
+	return n != NULL ? MU_OWNER(n, struct mu_target, node) : NULL;
+}
+
+/* Takes x off the list; it lives on while requests run there. */
+static void
+unlist(struct mu_targets *t, struct mu_target *x, const char *why)
+{
+	mu_log(MU_LOG_INFO, "targets", "endpoint_gone", "{s:s,s:s,s:s,s:s,s:i}",
+	    "endpoint", x->info.name, "addr", x->info.addr, "service",
+	    x->info.service, "why", why, "running", (int)x->sent);
+	mu_hmap_del(&t->by_name, &x->node);
+	cds_list_del(&x->in_group);
+	x->group->ntargets--;
+	x->listed = false;
+	mu_target_release(t, x);
+}
+
+void
+mu_target_release(
+    struct mu_targets *t __attribute__((unused)), struct mu_target *x)
+{
+	if (x->listed || x->sent > 0)
+		return;
+	mu_up_pool_clear(&x->pool);
+	free(x);
+}
+
+static void
+add(struct mu_targets *t, const struct mu_target_info *info)
+{
+	struct mu_target *x = calloc(1, sizeof(*x));
+
+	if (x == NULL)
+		abort();
+	x->info = *info;
+	x->node.key = x->info.name;
+	x->listed = x->mark = true;
+	x->group = mu_targets_group(t, info->service);
+	mu_up_pool_init(&x->pool, t->loop, info->addr, 0);
+	mu_health_init(&x->health);
+	mu_hmap_add(&t->by_name, &x->node);
+	cds_list_add_tail(&x->in_group, &x->group->targets);
+	x->group->ntargets++;
+	mu_log(MU_LOG_INFO, "targets", "endpoint_listed", "{s:s,s:s,s:s,s:b}",
+	    "endpoint", info->name, "addr", info->addr, "service",
+	    info->service, "leaving", info->leaving);
+}
+
+void
+mu_targets_learn(struct mu_targets *t, const struct mu_target_info *info)
+{
+	struct mu_target *x = find(t, info->name);
+
+	if (x != NULL && (x->info.born != info->born ||
+			     strcmp(x->info.addr, info->addr) != 0 ||
+			     strcmp(x->info.service, info->service) != 0)) {
+		unlist(t, x, "started_anew");
+		x = NULL;
+	}
+	if (x == NULL) {
+		add(t, info);
+		return;
+	}
+	if (info->leaving && !x->info.leaving)
+		mu_log(MU_LOG_INFO, "targets", "endpoint_leaving", "{s:s,s:i}",
+		    "endpoint", info->name, "running", (int)x->sent);
+	x->info = *info;
+	x->mark = true;
+}
+
+void
+mu_targets_remove(struct mu_targets *t, const char *name)
+{
+	struct mu_target *x = find(t, name);
+
+	if (x != NULL)
+		unlist(t, x, "entry_removed");
+}
+
+/* Calls fn for every listed endpoint, which fn may unlist. */
+static void
+each(struct mu_targets *t, void (*fn)(struct mu_targets *, struct mu_target *))
+{
+	struct mu_hnode *n, *next;
+	size_t i;
+
+	for (i = 0; i < t->by_name.nbuckets; i++)
+		for (n = t->by_name.bucket[i]; n != NULL; n = next) {
+			next = n->next;
+			fn(t, MU_OWNER(n, struct mu_target, node));
+		}
+}
+
+static void
+unmark(struct mu_targets *t __attribute__((unused)), struct mu_target *x)
+{
+	x->mark = false;
+}
+
+static void
+unlist_unmarked(struct mu_targets *t, struct mu_target *x)
+{
+	if (!x->mark)
+		unlist(t, x, "not_in_list");
+}
+
+static void
+unlist_all(struct mu_targets *t, struct mu_target *x)
+{
+	unlist(t, x, "stopping");
+}
+
+void
+mu_targets_list_begin(struct mu_targets *t)
+{
+	each(t, unmark);
+}
+
+void
+mu_targets_list_end(struct mu_targets *t)
+{
+	each(t, unlist_unmarked);
+}
+
+void
+mu_targets_clear(struct mu_targets *t)
+{
+	struct mu_hnode *n, *next;
+	size_t i;
+
+	each(t, unlist_all);
+	for (i = 0; i < t->groups.nbuckets; i++)
+		for (n = t->groups.bucket[i]; n != NULL; n = next) {
+			next = n->next;
+			free(MU_OWNER(n, struct mu_group, node));
+		}
+	mu_hmap_clear(&t->by_name);
+	mu_hmap_clear(&t->groups);
+}
+
+static double
+others_now(const struct mu_target *x, mu_us now)
+{
+	if (x->told_at == 0)
+		return 0;
+	return x->others * exp(-(double)(now - x->told_at) / FADE_US);
+}
+
+uint32_t
+mu_group_view(const struct mu_targets *t, const struct mu_group *g,
+    struct mu_candidate *c, struct mu_target **who)
+{
+	mu_us now = mu_loop_now(t->loop);
+	struct mu_target *x;
+	uint32_t n = 0;
+
+	cds_list_for_each_entry (x, &g->targets, in_group) {
+		if (n == MU_CHOOSE_MAX)
+			break;
+		who[n] = x;
+		memset(&c[n], 0, sizeof(c[n]));
+		c[n].usable = !x->info.leaving && now >= x->full_until &&
+			      mu_health_state(&mu_targets_eject, &x->health,
+				  now) != MU_HEALTH_EJECTED;
+		c[n].sent = x->sent;
+		c[n].others = others_now(x, now);
+		c[n].slots = x->info.slots;
+		c[n].near = strcmp(x->info.domain, t->domain) == 0;
+		c[n].slow = 1;
+		n++;
+	}
+	return n;
+}
+
+void
+mu_target_told(struct mu_target *x, mu_us now, uint32_t running,
+    uint32_t waiting, uint32_t slots)
+{
+	double all = (double)running + waiting;
+
+	x->others = all > x->sent ? all - x->sent : 0;
+	x->told_at = now;
+	if (slots > 0)
+		x->info.slots = slots;
+}
+
+void
+mu_target_ended(struct mu_targets *t, struct mu_target *x,
+    enum mu_health_result result, mu_us took)
+{
+	struct mu_health *all[MU_EJECT_MAX];
+	struct mu_eject_event e;
+	struct mu_target *y;
+	size_t n = 0, self = MU_EJECT_MAX;
+
+	cds_list_for_each_entry (y, &x->group->targets, in_group) {
+		if (n == MU_EJECT_MAX)
+			break;
+		if (y == x)
+			self = n;
+		all[n++] = &y->health;
+	}
+	if (self == MU_EJECT_MAX)
+		return;
+	e = mu_eject_report(&mu_targets_eject, all, n, self, result, took,
+	    mu_loop_now(t->loop));
+	if (e.kind == MU_EJECT_NOTHING)
+		return;
+	mu_log(MU_LOG_WARN, "targets",
+	    e.kind == MU_EJECT_EJECT ? "ejected" : "restored",
+	    "{s:s,s:s,s:s,s:I}", "endpoint", x->info.name, "service",
+	    x->info.service, "reason", mu_eject_reason_name(e.reason),
+	    "average_us", (json_int_t)x->health.average);
+}
--- /dev/null
+++ b/src/targets.h
@@ -0,0 +1,90 @@
+/*
+ * targets.h -- endpoints of the serving path and what is believed of them.
+ */
+#ifndef MU_TARGETS_H
+#define MU_TARGETS_H
+
+#include <urcu/list.h>
+
+#include "choose.h"
+#include "eject.h"
+#include "hmap.h"
+#include "routes.h"
+#include "upstream.h"
+
+/* An endpoint as it describes itself in the store. */
+struct mu_target_info {
+	char name[MU_NAME_LEN]; /* of this instance */
+	char service[MU_NAME_LEN];
+	char addr[MU_ADDR_LEN];
+	char domain[MU_NAME_LEN];
+	uint32_t slots;
+	bool leaving;
+	int64_t born; /* start of the instance; 0: unknown */
+};
+
+struct mu_group;
+
+struct mu_target {
+	struct mu_hnode node; /* by name */
+	struct cds_list_head in_group;
+	struct mu_group *group;
+	struct mu_target_info info;
+	bool listed;
+	bool mark; /* named by the list being read */
+	struct mu_up_pool pool;
+	uint32_t sent; /* requests of this daemon there now */
+	double others; /* of other callers, when last told */
+	mu_us told_at;
+	struct mu_health health;
+	mu_us full_until; /* it refused: no work until then */
+	unsigned lost; /* connections that failed since the last answer */
+};
+
+/* The endpoints of one service and the requests that wait for them. */
+struct mu_group {
+	struct mu_hnode node; /* by the service's name */
+	char name[MU_NAME_LEN];
+	struct cds_list_head targets;
+	uint32_t ntargets;
+	struct cds_list_head waiting; /* calls, see call.c */
+	uint32_t nwaiting;
+	mu_us call; /* smoothed time of a call */
+	bool retrying; /* its waiting calls are being looked at */
+};
+
+struct mu_targets {
+	struct mu_loop *loop;
+	char domain[MU_NAME_LEN]; /* of this daemon */
+	struct mu_hmap by_name;
+	struct mu_hmap groups;
+	uint64_t rng;
+};
+
+extern const struct mu_eject_conf mu_targets_eject;
+
+int mu_targets_init(
+    struct mu_targets *t, struct mu_loop *l, const char *domain, uint64_t seed);
+void mu_targets_clear(struct mu_targets *t);
+struct mu_group *mu_targets_group(struct mu_targets *t, const char *service);
+/* Takes what an endpoint says of itself. */
+void mu_targets_learn(struct mu_targets *t, const struct mu_target_info *info);
+/* The endpoint's entry is gone. */
+void mu_targets_remove(struct mu_targets *t, const char *name);
+/* Reading a whole list: what is not learned between these two is removed. */
+void mu_targets_list_begin(struct mu_targets *t);
+void mu_targets_list_end(struct mu_targets *t);
+/* Frees an endpoint that is no longer listed once nothing runs there. */
+void mu_target_release(struct mu_targets *t, struct mu_target *x);
+
+/* What mu_choose() takes, in the order of the group; returns the count. */
+uint32_t mu_group_view(const struct mu_targets *t, const struct mu_group *g,
+    struct mu_candidate *c, struct mu_target **who);
+/* The endpoint says how many requests it has, running and waiting. */
+void mu_target_told(struct mu_target *x, mu_us now, uint32_t running,
+    uint32_t waiting, uint32_t slots);
+/* A request there ended. took: time a piece, 0 when unknown. */
+void mu_target_ended(struct mu_targets *t, struct mu_target *x,
+    enum mu_health_result result, mu_us took);
+
+#endif
