--- /dev/null
+++ b/src/upstream.c
@@ -0,0 +1,515 @@
+/*
+ * upstream.c -- HTTP/1.1 exchanges with endpoints on kept connections.
+ *
+ * libcurl does not fit here: on a kept connection that breaks before the
+ * first byte of the answer it sends a request again by itself, which would
+ * run a call twice, and it cannot skip an answer that belongs to an earlier
+ * request.  So sockets are handled here, and http-parser reads the answers.
+ *
+ * A connection is kept only after an answer that ended where its framing says
+ * so, when the request had been written whole and no byte followed.  Bytes on
+ * an idle connection close it.
+ */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <http_parser.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "buf.h"
+#include "upstream.h"
+
+#define CONNECT_US \
+	(250 * MU_US_PER_MS) /* a first SYN and its answer; a lost \
+				SYN is resent only after 1 s */
+#define UNACKED_MS 1000 /* a silent connection is given up after this */
+#define IDLE_US (4 * MU_US_PER_S) /* without a Keep-Alive header */
+#define FRESH_US (500 * MU_US_PER_MS) /* idle time that leaves no doubt */
+#define KEEPALIVE_MARGIN_US (500 * MU_US_PER_MS) /* before the peer closes */
+#define READ_BYTES 16384
+#define SKIP_MAX 3 /* answers to other requests before one's own */
+#define HEADER_BYTES 8192
+
+struct mu_up_exchange {
+	struct cds_list_head node; /* in the pool while idle */
+	struct mu_up_pool *pool;
+	struct mu_watch watch;
+	struct mu_timer timer; /* connect limit, then end of idleness */
+	struct mu_buf out;
+	http_parser parser;
+	struct mu_up_hooks hooks;
+	bool connecting;
+	bool busy;
+	bool sent; /* a byte of the current request left */
+	bool skip; /* the answer being read belongs to another request */
+	bool done; /* own answer complete */
+	bool reading; /* inside http_parser_execute() */
+	bool cancelled; /* while reading */
+	bool malformed;
+	bool started; /* first byte of the own answer came */
+	unsigned skipped;
+	mu_us idle_limit;
+	mu_us idle_since;
+	/* Header being read; offsets into text. */
+	struct mu_buf text;
+	size_t name_at[MU_UP_HEADERS];
+	size_t value_at[MU_UP_HEADERS];
+	size_t nheaders;
+	bool in_value;
+};
+
+static void on_io(void *arg, uint32_t events);
+
+const char *
+mu_up_end_name(enum mu_up_end end)
+{
+	static const char *const names[] = {
+	    "whole", "connect", "lost", "malformed", "out_of_memory"};
+
+	return names[end];
+}
+
+void
+mu_up_pool_init(
+    struct mu_up_pool *p, struct mu_loop *l, const char *addr, uint32_t max)
+{
+	memset(p, 0, sizeof(*p));
+	p->loop = l;
+	p->max = max;
+	strncpy(p->addr, addr, sizeof(p->addr) - 1);
+	CDS_INIT_LIST_HEAD(&p->conns);
+}
+
+static void
+conn_free(struct mu_up_exchange *x)
+{
+	if (!x->busy && x->node.next != NULL) {
+		cds_list_del(&x->node);
+		x->pool->idle--;
+	}
+	mu_timer_clear(x->pool->loop, &x->timer);
+	mu_watch_del(x->pool->loop, &x->watch);
+	(void)close(x->watch.fd);
+	x->pool->open--;
+	mu_buf_clear(&x->out);
+	mu_buf_clear(&x->text);
+	free(x);
+}
+
+void
+mu_up_pool_clear(struct mu_up_pool *p)
+{
+	struct mu_up_exchange *x, *next;
+
+	cds_list_for_each_entry_safe (x, next, &p->conns, node)
+		conn_free(x);
+}
+
+/* Ends the exchange with a failure: the hook is the last to be called. */
+static void
+fail(struct mu_up_exchange *x, enum mu_up_end end)
+{
+	struct mu_up_hooks hooks = x->hooks;
+	bool sent = x->sent, busy = x->busy;
+
+	conn_free(x);
+	if (busy)
+		hooks.end(hooks.arg, end, sent);
+}
+
+static void
+on_timer(void *arg)
+{
+	struct mu_up_exchange *x = arg;
+
+	if (x->connecting)
+		fail(x, MU_UP_CONNECT);
+	else if (!x->busy)
+		conn_free(x);
+}
+
+/* Reading an answer. */
+
+static int
+parse_begin(http_parser *hp)
+{
+	struct mu_up_exchange *x = hp->data;
+
+	x->nheaders = 0;
+	x->in_value = false;
+	mu_buf_take(&x->text, mu_buf_len(&x->text));
+	return 0;
+}
+
+static int
+text_add(struct mu_up_exchange *x, const char *at, size_t len)
+{
+	return x->text.len + len > HEADER_BYTES ||
+		       mu_buf_add(&x->text, at, len) != 0
+		   ? 1
+		   : 0;
+}
+
+static int
+parse_field(http_parser *hp, const char *at, size_t len)
+{
+	struct mu_up_exchange *x = hp->data;
+
+	if (x->nheaders == 0 || x->in_value) {
+		if (x->nheaders == MU_UP_HEADERS || text_add(x, "", 1) != 0)
+			return 1;
+		x->name_at[x->nheaders++] = x->text.len;
+		x->in_value = false;
+	}
+	return text_add(x, at, len);
+}
+
+static int
+parse_value(http_parser *hp, const char *at, size_t len)
+{
+	struct mu_up_exchange *x = hp->data;
+
+	if (!x->in_value) {
+		if (text_add(x, "", 1) != 0)
+			return 1;
+		x->value_at[x->nheaders - 1] = x->text.len;
+		x->in_value = true;
+	}
+	return text_add(x, at, len);
+}
+
+static void
+read_keep_alive(struct mu_up_exchange *x, const struct mu_header *h, size_t n)
+{
+	const char *p;
+	size_t i;
+	long s;
+
+	x->idle_limit = IDLE_US;
+	for (i = 0; i < n; i++) {
+		if (strcasecmp(h[i].name, "Keep-Alive") != 0 ||
+		    (p = strcasestr(h[i].value, "timeout=")) == NULL)
+			continue;
+		s = strtol(p + strlen("timeout="), NULL, 10);
+		x->idle_limit = s * MU_US_PER_S - KEEPALIVE_MARGIN_US;
+	}
+}
+
+static int
+parse_headers(http_parser *hp)
+{
+	struct mu_up_exchange *x = hp->data;
+	struct mu_header headers[MU_UP_HEADERS];
+	struct mu_up_head head = {hp->status_code, headers, x->nheaders};
+	size_t i;
+
+	if (hp->status_code / 100 == 1)
+		return 0;
+	if (text_add(x, "", 1) != 0)
+		return 1;
+	for (i = 0; i < x->nheaders; i++) {
+		headers[i].name = x->text.p + x->name_at[i];
+		headers[i].value = x->text.p + x->value_at[i];
+	}
+	x->skip = !x->hooks.own(x->hooks.arg, &head);
+	if (x->skip)
+		return ++x->skipped > SKIP_MAX ? 1 : 0;
+	read_keep_alive(x, headers, x->nheaders);
+	x->started = true;
+	x->hooks.head(x->hooks.arg, &head);
+	return x->cancelled ? 1 : 0;
+}
+
+static int
+parse_body(http_parser *hp, const char *at, size_t len)
+{
+	struct mu_up_exchange *x = hp->data;
+
+	if (!x->skip)
+		x->hooks.body(x->hooks.arg, at, len);
+	return x->cancelled ? 1 : 0;
+}
+
+static int
+parse_complete(http_parser *hp)
+{
+	struct mu_up_exchange *x = hp->data;
+
+	if (x->skip || hp->status_code / 100 == 1)
+		return 0;
+	x->done = true;
+	http_parser_pause(hp, 1); /* what follows is not ours */
+	return 0;
+}
+
+static const http_parser_settings parser_settings = {
+    .on_message_begin = parse_begin,
+    .on_header_field = parse_field,
+    .on_header_value = parse_value,
+    .on_headers_complete = parse_headers,
+    .on_body = parse_body,
+    .on_message_complete = parse_complete,
+};
+
+/* The answer is complete: keeps the connection if that is safe. */
+static void
+finish(struct mu_up_exchange *x, bool clean)
+{
+	struct mu_up_hooks hooks = x->hooks;
+	struct mu_up_pool *p = x->pool;
+
+	x->busy = false;
+	x->node.next = NULL;
+	if (clean && mu_buf_len(&x->out) == 0 &&
+	    http_should_keep_alive(&x->parser) && x->idle_limit > 0) {
+		x->idle_since = mu_loop_now(p->loop);
+		cds_list_add(&x->node, &p->conns);
+		p->idle++;
+		mu_watch_set(p->loop, &x->watch, EPOLLIN);
+		mu_timer_set(p->loop, &x->timer, x->idle_since + x->idle_limit);
+	} else {
+		conn_free(x);
+	}
+	hooks.end(hooks.arg, MU_UP_WHOLE, true);
+}
+
+/* Hands bytes to the parser; false when x is gone. */
+static bool
+parse(struct mu_up_exchange *x, const char *data, size_t len)
+{
+	size_t n;
+
+	x->reading = true;
+	n = http_parser_execute(&x->parser, &parser_settings, data, len);
+	x->reading = false;
+	if (x->cancelled) {
+		conn_free(x);
+		return false;
+	}
+	if (x->done) {
+		finish(x, n == len);
+		return false;
+	}
+	if (HTTP_PARSER_ERRNO(&x->parser) != HPE_OK || n != len) {
+		fail(x, MU_UP_MALFORMED);
+		return false;
+	}
+	return true;
+}
+
+static void
+on_readable(struct mu_up_exchange *x)
+{
+	char data[READ_BYTES];
+	ssize_t n;
+
+	for (;;) {
+		n = recv(x->watch.fd, data, sizeof(data), 0);
+		if (n < 0 && (errno == EAGAIN || errno == EINTR))
+			return;
+		if (!x->busy) {
+			conn_free(x);
+			return;
+		}
+		if (n < 0) {
+			fail(x, MU_UP_LOST);
+			return;
+		}
+		if (n == 0) {
+			/* An answer without a length ends here. */
+			if (parse(x, NULL, 0))
+				fail(x, MU_UP_LOST);
+			return;
+		}
+		if (!parse(x, data, (size_t)n))
+			return;
+		if ((size_t)n < sizeof(data))
+			return;
+	}
+}
+
+/* Writes what is queued; false when x is gone. */
+static bool
+write_out(struct mu_up_exchange *x)
+{
+	ssize_t n;
+
+	while (mu_buf_len(&x->out) > 0) {
+		n = send(x->watch.fd, mu_buf_data(&x->out), mu_buf_len(&x->out),
+		    MSG_NOSIGNAL);
+		if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
+			mu_watch_set(
+			    x->pool->loop, &x->watch, EPOLLIN | EPOLLOUT);
+			return true;
+		}
+		if (n < 0) {
+			fail(x, x->sent ? MU_UP_LOST : MU_UP_CONNECT);
+			return false;
+		}
+		x->sent = true;
+		mu_buf_take(&x->out, (size_t)n);
+	}
+	mu_watch_set(x->pool->loop, &x->watch, EPOLLIN);
+	return true;
+}
+
+/* The connect ended; false when it failed and x is gone. */
+static bool
+connected(struct mu_up_exchange *x)
+{
+	socklen_t len = sizeof(int);
+	int err = 0;
+
+	if (getsockopt(x->watch.fd, SOL_SOCKET, SO_ERROR, &err, &len) != 0 ||
+	    err != 0) {
+		fail(x, MU_UP_CONNECT);
+		return false;
+	}
+	x->connecting = false;
+	mu_timer_clear(x->pool->loop, &x->timer);
+	return true;
+}
+
+static void
+on_io(void *arg, uint32_t events)
+{
+	struct mu_up_exchange *x = arg;
+
+	if (x->connecting && !connected(x))
+		return;
+	if ((events & EPOLLOUT) != 0 && !write_out(x))
+		return;
+	if ((events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0)
+		on_readable(x);
+}
+
+static int
+open_socket(const char *addr)
+{
+	struct sockaddr_in sin = {.sin_family = AF_INET};
+	int fd, on = 1, unacked = UNACKED_MS;
+	char ip[MU_ADDR_LEN];
+	uint16_t port;
+
+	if (mu_addr_parse(addr, ip, &port) != 0 ||
+	    inet_pton(AF_INET, ip, &sin.sin_addr) != 1)
+		return -1;
+	sin.sin_port = htons(port);
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return -1;
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	(void)setsockopt(
+	    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked, sizeof(unacked));
+	if (connect(fd, (struct sockaddr *)&sin, sizeof(sin)) != 0 &&
+	    errno != EINPROGRESS) {
+		(void)close(fd);
+		return -1;
+	}
+	return fd;
+}
+
+static struct mu_up_exchange *
+conn_open(struct mu_up_pool *p)
+{
+	struct mu_up_exchange *x;
+	int fd;
+
+	if (p->max != 0 && p->open >= p->max)
+		return NULL;
+	if ((fd = open_socket(p->addr)) < 0)
+		return NULL;
+	x = calloc(1, sizeof(*x));
+	if (x == NULL)
+		goto fail;
+	x->pool = p;
+	x->connecting = true;
+	x->watch.fd = fd;
+	x->watch.fn = on_io;
+	x->watch.arg = x;
+	x->watch.events = EPOLLOUT;
+	x->timer.fn = on_timer;
+	x->timer.arg = x;
+	if (mu_watch_add(p->loop, &x->watch) != 0)
+		goto fail;
+	mu_timer_set(p->loop, &x->timer, mu_loop_now(p->loop) + CONNECT_US);
+	p->open++;
+	p->opened++;
+	return x;
+fail:
+	free(x);
+	(void)close(fd);
+	return NULL;
+}
+
+/* An idle connection that has nothing to read and was used lately enough. */
+static struct mu_up_exchange *
+conn_idle(struct mu_up_pool *p, bool fresh)
+{
+	struct mu_up_exchange *x, *next;
+	char byte;
+	ssize_t n;
+
+	cds_list_for_each_entry_safe (x, next, &p->conns, node) {
+		n = recv(x->watch.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+		if (n >= 0 || errno != EAGAIN) {
+			conn_free(x);
+			continue;
+		}
+		if (fresh && mu_loop_now(p->loop) - x->idle_since > FRESH_US)
+			return NULL; /* the others are idle for longer */
+		cds_list_del(&x->node);
+		p->idle--;
+		mu_timer_clear(p->loop, &x->timer);
+		return x;
+	}
+	return NULL;
+}
+
+struct mu_up_exchange *
+mu_up_start(struct mu_up_pool *p, const struct mu_up_req *req,
+    const struct mu_up_hooks *hooks)
+{
+	struct mu_up_exchange *x = conn_idle(p, req->fresh);
+
+	if (x == NULL)
+		x = conn_open(p);
+	if (x == NULL)
+		return NULL;
+	x->hooks = *hooks;
+	x->busy = true;
+	x->sent = x->skip = x->done = x->started = false;
+	x->skipped = 0;
+	http_parser_init(&x->parser, HTTP_RESPONSE);
+	x->parser.data = x;
+	if (mu_buf_printf(&x->out, "%s %s HTTP/1.1\r\n%s", req->method,
+		req->target, req->headers) != 0 ||
+	    (req->has_body && mu_buf_printf(&x->out, "Content-Length: %zu\r\n",
+				  req->len) != 0) ||
+	    mu_buf_add(&x->out, "\r\n", 2) != 0 ||
+	    mu_buf_add(&x->out, req->body, req->len) != 0) {
+		x->busy = false;
+		x->node.next = NULL;
+		conn_free(x);
+		return NULL;
+	}
+	/* Written on the next turn of the loop, so that no hook is called
+	 * before the caller has the exchange. */
+	mu_watch_set(p->loop, &x->watch, EPOLLIN | EPOLLOUT);
+	return x;
+}
+
+void
+mu_up_cancel(struct mu_up_exchange *x)
+{
+	if (x->reading)
+		x->cancelled = true;
+	else
+		conn_free(x);
+}
