Budgets: cancel abandoned reservations, give back what a pause leaves

Change: reservations are kept by turn and cancelled; a home is given up when its link ends or after 1 s; a daemon gives back what a pausing program leaves when the budget is nearly drawn; 503 instead of 402 while another living daemon holds part of it; an unanswered draw is recognised in the row. The store client sends a second attempt while the first goes on instead of dropping it. A cancelled attempt counts as run once a byte of it left.

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -2131,7 +2131,7 @@
   (ProtobufCMessageInit) mu__granted__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mu__settle__field_descriptors[5] =
+static const ProtobufCFieldDescriptor mu__settle__field_descriptors[4] =
 {
   {
     "program",
@@ -2181,21 +2181,8 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "most",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Mu__Settle, most),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned mu__settle__field_indices_by_name[] = {
-  4,   /* field[4] = most */
   0,   /* field[0] = program */
   3,   /* field[3] = record */
   1,   /* field[1] = turn */
@@ -2204,7 +2191,7 @@
 static const ProtobufCIntRange mu__settle__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor mu__settle__descriptor =
 {
@@ -2214,7 +2201,7 @@
   "Mu__Settle",
   "mu",
   sizeof(Mu__Settle),
-  5,
+  4,
   mu__settle__field_descriptors,
   mu__settle__field_indices_by_name,
   1,  mu__settle__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -396,14 +396,10 @@
    * a TurnRecord; empty: none
    */
   ProtobufCBinaryData record;
-  /*
-   * tokens that the turn had reserved
-   */
-  uint64_t most;
 };
 #define MU__SETTLE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mu__settle__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, {0,NULL}, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, {0,NULL} }
 
 
 /*
--- a/src/call.c
+++ b/src/call.c
@@ -217,15 +217,23 @@
 	retry_waiting(c->s, c->group);
 }
 
+/* Breaks off the attempt in progress, which has run if a byte of it left. */
+static void
+cancel_exchange(struct mu_call *c, enum mu_health_result result)
+{
+	if (c->exchange == NULL)
+		return;
+	if (mu_up_cancel(c->exchange))
+		c->ran++;
+	leave_target(c, result, 0);
+}
+
 static void
 on_timer(void *arg)
 {
 	struct mu_call *c = arg;
 
-	if (c->exchange != NULL) {
-		mu_up_cancel(c->exchange);
-		leave_target(c, MU_HEALTH_FAILURE, 0);
-	}
+	cancel_exchange(c, MU_HEALTH_FAILURE);
 	if (c->ran == 0)
 		refuse(c, 503, RETRY_OVERLOAD_MS, "timeout_before_sending");
 	else
@@ -401,8 +409,7 @@
 fail:
 	mu_log(MU_LOG_ERROR, "call", "answer_too_large", "{s:s}", "request",
 	    c->req.id);
-	mu_up_cancel(c->exchange);
-	leave_target(c, MU_HEALTH_FAILURE, 0);
+	cancel_exchange(c, MU_HEALTH_FAILURE);
 	give_up(c, 0, "answer_too_large");
 }
 
@@ -925,10 +932,7 @@
 	if (c == NULL)
 		return;
 	r->user = NULL;
-	if (c->exchange != NULL) {
-		mu_up_cancel(c->exchange);
-		leave_target(c, MU_HEALTH_BUSY, 0);
-	}
+	cancel_exchange(c, MU_HEALTH_BUSY);
 	if (c->state != ST_ANSWERED) {
 		c->why = ok ? "closed" : "caller_gone";
 		log_end(c, 0);
--- a/src/home.c
+++ b/src/home.c
@@ -21,9 +21,17 @@
 
 #define TABLE "budgets"
 #define PARTS 16 /* the platform runs 200 writes a second in a part */
-#define HOME_WAIT_US (350 * MU_US_PER_MS) /* some draws of a healthy store */
-#define FORGET_US (90 * MU_US_PER_S) /* idle programs; longer than any pause \
-				      */
+#define HOME_WAIT_US \
+	(1 * MU_US_PER_S) /* some draws of a slow store; that the \
+			     home is gone is told by its link */
+#define PAUSE_US \
+	(400 * MU_US_PER_MS) /* without a turn: what is left is given \
+				back; most pauses of callers are \
+				shorter */
+#define RETURN_LIMIT_US (3 * MU_US_PER_S)
+#define FORGET_US \
+	(90 * MU_US_PER_S) /* idle programs; longer than any pause \
+			    */
 #define SWEEP_US (10 * MU_US_PER_S)
 #define KEY_BYTES 200 /* longest key of the store */
 
@@ -35,15 +43,22 @@
 	uint64_t ver; /* of the row; 0: not known to exist */
 	uint64_t draw; /* number of the last draw */
 	uint64_t amount; /* of the draw in progress */
-	bool drawing;
-	mu_us deadline; /* of the draw in progress */
+	uint64_t lost_draw; /* number of a draw without an answer; 0: none */
+	uint64_t lost_amount;
+	bool drawing; /* or giving back */
+	bool returning;
+	uint64_t writer; /* incarnation that wrote the row last */
 	mu_us used_at;
-	struct cds_list_head waiters;
+	struct mu_timer pause;
+	struct cds_list_head waiters; /* turns that wait for a reservation */
+	struct cds_list_head holds; /* turns that have one */
 	struct cds_list_head all;
 };
 
-struct waiter {
+/* A turn that waits for its reservation or has it. */
+struct hold {
 	struct cds_list_head node;
+	char turn[KEY_BYTES + 1];
 	uint64_t most;
 	mu_us deadline;
 	mu_begin_fn fn;
@@ -61,9 +76,16 @@
 	struct cds_list_head all;
 	char part[PARTS][8];
 	struct mu_timer sweep;
+	bool leaving;
 };
 
 static void serve(struct program *p);
+static void on_pause(void *arg);
+static void settle_here(
+    struct mu_home *h, const char *program, const char *turn, uint64_t used);
+static void settle_there(struct mu_home *h, const struct mu_grant *grant,
+    const char *program, const char *turn, uint64_t used,
+    const Mu__TurnRecord *rec);
 
 uint64_t
 mu_home_weight(const char *host, const char *key)
@@ -79,6 +101,11 @@
 static void
 program_free(struct program *p)
 {
+	struct hold *w, *next;
+
+	cds_list_for_each_entry_safe (w, next, &p->holds, node)
+		free(w);
+	mu_timer_clear(p->home->loop, &p->pause);
 	mu_hmap_del(&p->home->programs, &p->node);
 	cds_list_del(&p->all);
 	free(p);
@@ -162,6 +189,9 @@
 		(void)snprintf(p->id, sizeof(p->id), "%s", id);
 		p->node.key = p->id;
 		CDS_INIT_LIST_HEAD(&p->waiters);
+		CDS_INIT_LIST_HEAD(&p->holds);
+		p->pause.fn = on_pause;
+		p->pause.arg = p;
 		mu_hmap_add(&h->programs, &p->node);
 		cds_list_add(&p->all, &h->all);
 	}
@@ -171,7 +201,7 @@
 }
 
 static void
-answer(struct waiter *w, enum mu_begin_status st)
+answer(struct hold *w, enum mu_begin_status st)
 {
 	mu_begin_fn fn = w->fn;
 	void *arg = w->arg;
@@ -186,7 +216,16 @@
 {
 	while (!cds_list_empty(&p->waiters))
 		answer(
-		    cds_list_first_entry(&p->waiters, struct waiter, node), st);
+		    cds_list_first_entry(&p->waiters, struct hold, node), st);
+}
+
+/* The reservation is made; the turn keeps it until it is settled. */
+static void
+answer_held(struct program *p, struct hold *w)
+{
+	cds_list_del(&w->node);
+	cds_list_add(&w->node, &p->holds);
+	w->fn(w->arg, MU_BEGIN_OK);
 }
 
 /* Takes over what the row says now; true when this draw was applied. */
@@ -207,6 +246,12 @@
 		mine = row->writer == p->home->conf.incarnation &&
 		       row->draw == p->draw;
 		p->ledger.granted = row->granted;
+		p->writer = row->writer;
+		if (row->writer == p->home->conf.incarnation &&
+		    row->draw == p->lost_draw)
+			mu_ledger_drawn(
+			    &p->ledger, p->lost_amount, row->granted);
+		p->lost_draw = 0;
 		mu__ledger_row__free_unpacked(row, NULL);
 	} else if (p->ver != 0) {
 		mu_log(MU_LOG_ERROR, "home", "budget_row_unreadable", "{s:s}",
@@ -216,6 +261,25 @@
 	return mine;
 }
 
+/* A draw, or a return, took effect. */
+static void
+wrote(struct program *p, uint64_t granted)
+{
+	if (p->returning)
+		mu_ledger_returned(&p->ledger, p->amount, granted);
+	else
+		mu_ledger_drawn(&p->ledger, p->amount, granted);
+}
+
+/* A draw had no answer: the row tells later whether it took effect. */
+static void
+lose_draw(struct program *p)
+{
+	p->lost_draw = p->draw;
+	p->lost_amount = p->amount;
+	answer_all(p, MU_BEGIN_UNAVAILABLE);
+}
+
 static void
 on_drawn(void *arg, const Mu__StoreResult *r)
 {
@@ -229,27 +293,33 @@
 			    p->home->part[mu_hash(p->id) % PARTS], p->id,
 			    FORGET_US);
 		p->ver = r->ver;
-		mu_ledger_drawn(
-		    &p->ledger, p->amount, p->ledger.granted + p->amount);
+		p->writer = p->home->conf.incarnation;
+		wrote(p, p->returning ? p->ledger.granted - p->amount
+				      : p->ledger.granted + p->amount);
 		break;
 	case MU__STORE_RESULT__STATUS__CONFLICT:
 		if (adopt(p, r))
-			mu_ledger_drawn(
-			    &p->ledger, p->amount, p->ledger.granted);
+			wrote(p, p->ledger.granted);
 		break;
 	default:
 		/* An attempt without an answer may still be applied: the next
 		 * draw meets that row as a conflict. */
 		mu_log(MU_LOG_WARN, "home", "draw_failed", "{s:s,s:i}",
 		    "program", p->id, "status", (int)r->status);
-		answer_all(p, MU_BEGIN_UNAVAILABLE);
-		return;
+		if (p->returning)
+			/* It may be given back yet: it is not used again. */
+			mu_ledger_returned(
+			    &p->ledger, p->amount, p->ledger.granted);
+		else
+			lose_draw(p);
+		break;
 	}
+	p->returning = false;
 	serve(p);
 }
 
 static void
-draw(struct program *p, uint64_t amount, mu_us deadline)
+write_row(struct program *p, uint64_t granted, mu_us deadline)
 {
 	Mu__StoreOp op = MU__STORE_OP__INIT;
 	Mu__StoreRow on = MU__STORE_ROW__INIT, put = MU__STORE_ROW__INIT;
@@ -258,10 +328,9 @@
 	uint8_t value[64];
 
 	p->drawing = true;
-	p->amount = amount;
 	p->draw++;
 	row.budget = p->ledger.budget;
-	row.granted = p->ledger.granted + amount;
+	row.granted = granted;
 	row.writer = p->home->conf.incarnation;
 	row.draw = p->draw;
 	on.table = put.table = (char *)(uintptr_t)TABLE;
@@ -277,19 +346,69 @@
 	mu_store_run(p->home->store, &op, deadline, on_drawn, p);
 }
 
+static void
+draw(struct program *p, uint64_t amount, mu_us deadline)
+{
+	p->amount = amount;
+	write_row(p, p->ledger.granted + amount, deadline);
+}
+
+/* Gives back what is not used, when the program pauses. */
+static void
+on_pause(void *arg)
+{
+	struct program *p = arg;
+	uint64_t amount = mu_ledger_spare(&p->ledger, p->home->leaving);
+
+	if (p->drawing || amount == 0 || !cds_list_empty(&p->holds))
+		return;
+	p->returning = true;
+	p->amount = amount;
+	write_row(p, p->ledger.granted - amount,
+	    mu_loop_now(p->home->loop) + RETURN_LIMIT_US);
+}
+
+static void
+plan_return(struct program *p)
+{
+	mu_us now = mu_loop_now(p->home->loop);
+
+	if (!cds_list_empty(&p->holds))
+		mu_timer_clear(p->home->loop, &p->pause);
+	else
+		mu_timer_set(p->home->loop, &p->pause,
+		    p->home->leaving ? now : now + PAUSE_US);
+}
+
+/* Whether another daemon that lives has drawn from the budget and may give
+ * some of it back. */
+static bool
+others_hold(const struct program *p)
+{
+	struct mu_peer *q;
+
+	if (p->ledger.granted <= p->ledger.drawn ||
+	    p->writer == p->home->conf.incarnation)
+		return false;
+	cds_list_for_each_entry (q, mu_mesh_peers(p->home->mesh), node)
+		if (q->up && q->incarnation == p->writer)
+			return true;
+	return false;
+}
+
 /* Answers those who wait, in order, while the budget drawn so far lasts. */
 static void
 serve(struct program *p)
 {
 	struct mu_ledger_answer a;
-	struct waiter *w;
+	struct hold *w;
 
 	while (!p->drawing && !cds_list_empty(&p->waiters)) {
-		w = cds_list_first_entry(&p->waiters, struct waiter, node);
+		w = cds_list_first_entry(&p->waiters, struct hold, node);
 		a = mu_ledger_reserve(&p->ledger, w->most);
 		switch (a.kind) {
 		case MU_LEDGER_RESERVED:
-			answer(w, MU_BEGIN_OK);
+			answer_held(p, w);
 			break;
 		case MU_LEDGER_DRAW:
 			draw(p, a.draw, w->deadline);
@@ -302,21 +421,25 @@
 			    (json_int_t)p->ledger.spent, "reserved_here",
 			    (json_int_t)p->ledger.reserved, "most",
 			    (json_int_t)w->most);
-			answer(w, MU_BEGIN_EXHAUSTED);
+			answer(w, others_hold(p) ? MU_BEGIN_UNAVAILABLE
+						 : MU_BEGIN_EXHAUSTED);
 			break;
 		}
 	}
+	if (!p->drawing)
+		plan_return(p);
 }
 
 static void
-reserve_here(struct mu_home *h, const char *program, uint64_t budget,
-    uint64_t most, mu_us deadline, mu_begin_fn fn, void *arg)
+reserve_here(struct mu_home *h, const char *program, const char *turn,
+    uint64_t budget, uint64_t most, mu_us deadline, mu_begin_fn fn, void *arg)
 {
 	struct program *p = get_program(h, program, budget);
-	struct waiter *w = calloc(1, sizeof(*w));
+	struct hold *w = calloc(1, sizeof(*w));
 
 	if (w == NULL)
 		abort();
+	(void)snprintf(w->turn, sizeof(w->turn), "%s", turn);
 	w->most = most;
 	w->deadline = deadline;
 	w->fn = fn;
@@ -331,6 +454,7 @@
 	struct mu_home *h;
 	struct mu_begin b;
 	char program[KEY_BYTES + 1];
+	char turn[KEY_BYTES + 1];
 	char previous[KEY_BYTES + 1];
 	struct mu_grant *grant;
 	mu_begin_fn fn;
@@ -420,7 +544,9 @@
 	if (f == NULL) {
 		mu_log(MU_LOG_INFO, "home", "home_silent", "{s:s,s:s}",
 		    "program", g->program, "host", g->grant->host);
-		reserve_here(g->h, g->program, g->b.budget, g->b.most,
+		/* If it reserves yet, it must not keep it. */
+		settle_there(g->h, g->grant, g->program, g->turn, 0, NULL);
+		reserve_here(g->h, g->program, g->turn, g->b.budget, g->b.most,
 		    g->b.deadline, on_reserved_here, g);
 		return;
 	}
@@ -472,7 +598,7 @@
 	b.program = g->program;
 	b.budget = g->b.budget;
 	b.most = g->b.most;
-	b.turn = (char *)(uintptr_t)g->b.turn;
+	b.turn = g->turn;
 	b.previous = g->previous;
 	b.need_history = *g->previous != '\0' &&
 			 !mu_history_whole(g->h->history, g->previous);
@@ -497,8 +623,8 @@
 	g->fn = fn;
 	g->arg = arg;
 	memset(grant, 0, sizeof(*grant));
-	grant->most = b->most;
 	(void)snprintf(g->program, sizeof(g->program), "%s", b->program);
+	(void)snprintf(g->turn, sizeof(g->turn), "%s", b->turn);
 	(void)snprintf(g->previous, sizeof(g->previous), "%s",
 	    b->previous != NULL ? b->previous : "");
 	if (*g->program == '\0') {
@@ -508,22 +634,43 @@
 	p = home_of(h, g->program);
 	if (p != NULL && ask_home(g, p))
 		return;
-	reserve_here(h, g->program, b->budget, b->most, b->deadline,
+	reserve_here(h, g->program, g->turn, b->budget, b->most, b->deadline,
 	    on_reserved_here, g);
 }
 
 /* Ending a turn. */
 
+static struct hold *
+find_hold(struct cds_list_head *list, const char *turn)
+{
+	struct hold *w;
+
+	cds_list_for_each_entry (w, list, node)
+		if (strcmp(w->turn, turn) == 0)
+			return w;
+	return NULL;
+}
+
 static void
 settle_here(
-    struct mu_home *h, const char *program, uint64_t most, uint64_t used)
+    struct mu_home *h, const char *program, const char *turn, uint64_t used)
 {
 	struct program *p = find_program(h, program);
+	struct hold *w;
 
 	if (p == NULL)
 		return;
-	mu_ledger_settle(&p->ledger, most, used);
 	p->used_at = mu_loop_now(h->loop);
+	w = find_hold(&p->holds, turn);
+	if (w != NULL) {
+		mu_ledger_settle(&p->ledger, w->most, used);
+		cds_list_del(&w->node);
+		free(w);
+	} else if ((w = find_hold(&p->waiters, turn)) != NULL) {
+		answer(w, MU_BEGIN_UNAVAILABLE);
+	}
+	if (!p->drawing)
+		serve(p);
 }
 
 static void
@@ -541,7 +688,6 @@
 		return;
 	s.program = (char *)(uintptr_t)program;
 	s.turn = (char *)(uintptr_t)turn;
-	s.most = grant->most;
 	s.used = used;
 	if (rec != NULL) {
 		s.record.len = mu__turn_record__get_packed_size(rec);
@@ -567,7 +713,7 @@
 	if (grant->remote)
 		settle_there(h, grant, program, turn, used, rec);
 	else
-		settle_here(h, program, grant->most, used);
+		settle_here(h, program, turn, used);
 }
 
 /* Requests of other daemons. */
@@ -576,6 +722,8 @@
 	struct mu_home *h;
 	struct mu_mesh_link *from;
 	uint64_t id;
+	char program[KEY_BYTES + 1];
+	char turn[KEY_BYTES + 1];
 	char previous[KEY_BYTES + 1];
 	bool need_history;
 };
@@ -622,7 +770,8 @@
 		pack_history(q->h, q->previous, &g.history);
 	f.body_case = MU__FRAME__BODY_GRANTED;
 	f.granted = &g;
-	mu_mesh_reply(q->from, &f);
+	if (!mu_mesh_reply(q->from, &f) && st == MU_BEGIN_OK)
+		settle_here(q->h, q->program, q->turn, 0);
 	mu_mesh_release(q->from);
 	free(g.history.data);
 	free(q);
@@ -640,8 +789,10 @@
 	q->from = mu_mesh_hold(from);
 	q->id = b->id;
 	q->need_history = b->need_history;
+	(void)snprintf(q->program, sizeof(q->program), "%s", b->program);
+	(void)snprintf(q->turn, sizeof(q->turn), "%s", b->turn);
 	(void)snprintf(q->previous, sizeof(q->previous), "%s", b->previous);
-	reserve_here(h, b->program, b->budget, b->most,
+	reserve_here(h, b->program, b->turn, b->budget, b->most,
 	    mu_loop_now(h->loop) + HOME_WAIT_US, on_reserved_for_peer, q);
 }
 
@@ -650,10 +801,21 @@
 {
 	Mu__TurnRecord *rec;
 
-	settle_here(h, s->program, s->most, s->used);
+	settle_here(h, s->program, s->turn, s->used);
 	if (s->record.len == 0)
 		return;
 	rec = mu__turn_record__unpack(NULL, s->record.len, s->record.data);
 	if (rec != NULL)
 		mu_history_keep(h->history, rec, FORGET_US);
 }
+
+void
+mu_home_leave(struct mu_home *h)
+{
+	struct program *p;
+
+	h->leaving = true;
+	cds_list_for_each_entry (p, &h->all, all)
+		if (!p->drawing)
+			plan_return(p);
+}
--- a/src/home.h
+++ b/src/home.h
@@ -37,7 +37,6 @@
 	bool remote;
 	char host[MU_NAME_LEN];
 	uint64_t incarnation; /* of the home that gave it */
-	uint64_t most;
 };
 
 typedef void (*mu_begin_fn)(void *arg, enum mu_begin_status status);
@@ -65,6 +64,9 @@
 mu_home_settle(struct mu_home *h, struct mu_grant *grant, const char *program,
     const char *turn, uint64_t used, const Mu__TurnRecord *rec);
 
+/* This daemon leaves: budget that it holds is given back as turns end. */
+void mu_home_leave(struct mu_home *h);
+
 /* Frames of other daemons. */
 void mu_home_on_begin(
     struct mu_home *h, struct mu_mesh_link *from, const Mu__Begin *b);
--- a/src/ledger.c
+++ b/src/ledger.c
@@ -4,10 +4,12 @@
  * A draw takes a part of the budget that serves several turns, so that a
  * program costs a few writes and not one a turn; what is drawn and not used is
  * lost to the program when the daemon dies, so it is a part and not the whole.
+ * A program with budget for a few turns only draws just what a turn needs.
  */
 #include "ledger.h"
 
 #define DRAWS 3 /* a program's budget in so many draws */
+#define NEARLY_DRAWN 2 /* largest turns that must stay in the row */
 
 static uint64_t
 room(const struct mu_ledger *l)
@@ -24,6 +26,10 @@
 	uint64_t left = l->granted < l->budget ? l->budget - l->granted : 0;
 	uint64_t have = room(l), part = l->budget / DRAWS;
 
+	if (most > l->most)
+		l->most = most;
+	if (part > left / 2)
+		part = left / 2;
 	if (have >= most) {
 		l->reserved += most;
 		return a;
@@ -52,3 +58,20 @@
 	l->reserved = l->reserved > most ? l->reserved - most : 0;
 	l->spent += used;
 }
+
+uint64_t
+mu_ledger_spare(const struct mu_ledger *l, bool leaving)
+{
+	uint64_t left = l->granted < l->budget ? l->budget - l->granted : 0;
+
+	if (!leaving && left >= NEARLY_DRAWN * l->most)
+		return 0;
+	return room(l) < l->granted ? room(l) : l->granted;
+}
+
+void
+mu_ledger_returned(struct mu_ledger *l, uint64_t amount, uint64_t granted)
+{
+	l->drawn = l->drawn > amount ? l->drawn - amount : 0;
+	l->granted = granted;
+}
--- a/src/ledger.h
+++ b/src/ledger.h
@@ -18,6 +18,7 @@
 	uint64_t drawn; /* by this daemon */
 	uint64_t spent; /* of that */
 	uint64_t reserved; /* of that, for turns in progress */
+	uint64_t most; /* largest reservation asked for */
 };
 
 enum mu_ledger_kind {
@@ -38,4 +39,12 @@
 /* A turn has ended that had reserved most and used used. */
 void mu_ledger_settle(struct mu_ledger *l, uint64_t most, uint64_t used);
 
+/*
+ * Tokens drawn that are not used or reserved and should be given back: all of
+ * them when the daemon leaves, else only when the budget is nearly drawn.
+ */
+uint64_t mu_ledger_spare(const struct mu_ledger *l, bool leaving);
+/* amount was given back and the row now says granted. */
+void mu_ledger_returned(struct mu_ledger *l, uint64_t amount, uint64_t granted);
+
 #endif
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -401,6 +401,7 @@
 {
 	struct mu_mesh *m = arg;
 	mu_us now = mu_loop_now(m->loop);
+	mu_us silence = m->conf.silence_ms * MU_US_PER_MS;
 	struct mu_peer *p;
 
 	mu_mesh_beat(m);
@@ -408,6 +409,9 @@
 		if (p->link != NULL && p->link->connecting &&
 		    now - p->link->opened > CONNECT_US)
 			link_close(p->link);
+		/* Requests on the link of a silent peer end with it. */
+		if (p->up && now - p->heard >= silence && p->link != NULL)
+			link_close(p->link);
 		if (p->link == NULL && now >= p->dial_at)
 			dial(m, p);
 		set_up(m, p);
@@ -586,8 +590,8 @@
 	return true;
 }
 
-void
+bool
 mu_mesh_reply(struct mu_mesh_link *l, const Mu__Frame *f)
 {
-	(void)post(l, f);
+	return post(l, f);
 }
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -85,7 +85,7 @@
 /* A reference to the link of a request; valid until released. */
 struct mu_mesh_link *mu_mesh_hold(struct mu_mesh_link *l);
 void mu_mesh_release(struct mu_mesh_link *l);
-/* Replies over the link of a request; dropped when it has ended. */
-void mu_mesh_reply(struct mu_mesh_link *l, const Mu__Frame *f);
+/* Replies over the link of a request; false when it has ended. */
+bool mu_mesh_reply(struct mu_mesh_link *l, const Mu__Frame *f);
 
 #endif
--- a/src/serve.c
+++ b/src/serve.c
@@ -166,7 +166,7 @@
 		(void)mu__store_result__pack(r, m.result.data);
 		f.body_case = MU__FRAME__BODY_RELAYED;
 		f.relayed = &m;
-		mu_mesh_reply(q->from, &f);
+		(void)mu_mesh_reply(q->from, &f);
 	}
 	free(m.result.data);
 	mu_mesh_release(q->from);
@@ -384,6 +384,7 @@
 {
 	s->leaving = true;
 	mu_mesh_beat(s->mesh);
+	mu_home_leave(s->home);
 }
 
 void
--- a/src/store.c
+++ b/src/store.c
@@ -3,10 +3,12 @@
  *
  * Load that this answers: a store that is slow, loses answers, or serves some
  * daemons only, while turns wait for their records.  An answer that is lost is
- * told from a slow store by the smoothed time of answers: an attempt waits a
- * few times as long, and twice as long after each miss (RFC 6298 does the same
- * for TCP).  After two failures in a row operations go through a peer that the
- * store answers, and the direct way is tried again from time to time.
+ * told from a slow store by the smoothed time of answers: after a few times
+ * as long the operation is sent once more while the first attempt goes on, and
+ * the wait doubles after each miss (RFC 6298 does the same for TCP).  The
+ * first answer counts.  After two failures in a row operations go through a
+ * peer that the store answers, and the direct way is tried again from time to
+ * time.
  */
 #include <jansson.h>
 #include <stdlib.h>
@@ -23,6 +25,7 @@
 #define RETRY_CAP_MS 250
 #define DIRECT_AGAIN_US (400 * MU_US_PER_MS) /* relayed until then */
 #define FAILURES_TO_RELAY 2
+#define ATTEMPTS_AT_ONCE 3 /* of one operation, in progress */
 #define START_RTT_US (10 * MU_US_PER_MS) /* before the first answer */
 
 struct mu_store {
@@ -41,16 +44,20 @@
 	struct mu_store *s;
 	Mu__StoreOp *op;
 	mu_us deadline;
-	mu_us began; /* of the attempt */
-	bool relayed;
 	bool maybe; /* an attempt had no answer */
+	bool ended; /* done has been called */
+	unsigned running; /* attempts in progress */
 	uint32_t backoff_ms;
 	struct mu_timer timer;
 	mu_store_fn done;
 	void *arg;
 };
 
-static void attempt(void *arg);
+struct attempt {
+	struct op *o;
+	mu_us began;
+	bool relayed;
+};
 
 struct mu_store *
 mu_store_new(struct mu_loop *l, const struct mu_store_backend *backend)
@@ -127,6 +134,14 @@
 	    "rtt_us", (json_int_t)s->rtt, "misses", (int)s->misses);
 }
 
+/* The store does not answer: operations go another way for a time. */
+static void
+lose(struct mu_store *s, Mu__StoreResult__Status st)
+{
+	set_ok(s, false, st);
+	s->direct_at = mu_loop_now(s->loop) + DIRECT_AGAIN_US;
+}
+
 /* Learns from the end of a direct attempt. */
 static void
 learn(struct mu_store *s, const Mu__StoreOp *op, Mu__StoreResult__Status st,
@@ -134,9 +149,6 @@
 {
 	switch (st) {
 	case MU__STORE_RESULT__STATUS__UNKNOWN:
-		s->misses++;
-		s->failures++;
-		break;
 	case MU__STORE_RESULT__STATUS__REFUSED:
 		s->failures++;
 		break;
@@ -147,12 +159,19 @@
 			s->rtt += (took - s->rtt) / 8;
 		break;
 	}
-	if (s->failures >= FAILURES_TO_RELAY) {
-		set_ok(s, false, st);
-		s->direct_at = mu_loop_now(s->loop) + DIRECT_AGAIN_US;
-	} else if (s->failures == 0) {
+	if (s->failures >= FAILURES_TO_RELAY)
+		lose(s, st);
+	else if (s->failures == 0)
 		set_ok(s, true, st);
-	}
+}
+
+static void
+op_release(struct op *o)
+{
+	if (!o->ended || o->running > 0)
+		return;
+	mu__store_op__free_unpacked(o->op, NULL);
+	free(o);
 }
 
 static void
@@ -162,12 +181,23 @@
 	void *arg = o->arg;
 
 	o->s->pending--;
+	o->ended = true;
 	mu_timer_clear(o->s->loop, &o->timer);
-	mu__store_op__free_unpacked(o->op, NULL);
-	free(o);
+	op_release(o);
 	done(arg, r);
 }
 
+static void
+give_up(struct op *o)
+{
+	Mu__StoreResult last = MU__STORE_RESULT__INIT;
+
+	last.status = o->maybe || o->running > 0
+			  ? MU__STORE_RESULT__STATUS__UNKNOWN
+			  : MU__STORE_RESULT__STATUS__REFUSED;
+	finish(o, &last);
+}
+
 static bool
 repeatable(const Mu__StoreResult *r)
 {
@@ -175,34 +205,46 @@
 	       r->status == MU__STORE_RESULT__STATUS__REFUSED;
 }
 
+/* An attempt failed: the next one follows after a while. */
 static void
-on_result(void *arg, const Mu__StoreResult *r)
+back_off(struct op *o)
 {
-	struct op *o = arg;
-	struct mu_store *s = o->s;
-	mu_us now = mu_loop_now(s->loop);
-	Mu__StoreResult last = MU__STORE_RESULT__INIT;
+	mu_us at = mu_loop_now(o->s->loop) + o->backoff_ms * MU_US_PER_MS;
 
-	if (!o->relayed)
-		learn(s, o->op, r->status, now - o->began);
-	if (r->status == MU__STORE_RESULT__STATUS__UNKNOWN)
-		o->maybe = true;
-	if (!repeatable(r)) {
-		finish(o, r);
+	if (at >= o->deadline && o->running == 0) {
+		give_up(o);
 		return;
 	}
-	if (now + o->backoff_ms * MU_US_PER_MS >= o->deadline) {
-		last.status = o->maybe ? MU__STORE_RESULT__STATUS__UNKNOWN
-				       : MU__STORE_RESULT__STATUS__REFUSED;
-		finish(o, &last);
-		return;
-	}
-	mu_timer_set(s->loop, &o->timer, now + o->backoff_ms * MU_US_PER_MS);
+	if (o->timer.slot == 0 || at < o->timer.at)
+		mu_timer_set(o->s->loop, &o->timer, at);
 	o->backoff_ms *= 2;
 	if (o->backoff_ms > RETRY_CAP_MS)
 		o->backoff_ms = RETRY_CAP_MS;
 }
 
+static void
+on_result(void *arg, const Mu__StoreResult *r)
+{
+	struct attempt *a = arg;
+	struct op *o = a->o;
+	struct mu_store *s = o->s;
+
+	if (!a->relayed)
+		learn(s, o->op, r->status, mu_loop_now(s->loop) - a->began);
+	free(a);
+	o->running--;
+	if (o->ended) {
+		op_release(o);
+		return;
+	}
+	if (r->status == MU__STORE_RESULT__STATUS__UNKNOWN)
+		o->maybe = true;
+	if (repeatable(r))
+		back_off(o);
+	else
+		finish(o, r);
+}
+
 static bool
 use_relay(const struct mu_store *s)
 {
@@ -211,24 +253,67 @@
 	       s->relay.available(s->relay.arg);
 }
 
+/* Time that one attempt may take: the rest, so that a slow one is answered. */
+static uint32_t
+attempt_limit(const struct op *o, mu_us now)
+{
+	mu_us left = (o->deadline - now) / MU_US_PER_MS;
+
+	if (left < LIMIT_FLOOR_MS)
+		left = LIMIT_FLOOR_MS;
+	if (left > LIMIT_CAP_MS)
+		left = LIMIT_CAP_MS;
+	return (uint32_t)left + o->op->wait_ms;
+}
+
 static void
-attempt(void *arg)
+attempt(struct op *o)
 {
-	struct op *o = arg;
 	struct mu_store *s = o->s;
 	mu_us now = mu_loop_now(s->loop);
-	uint32_t limit = mu_store_limit_ms(s->rtt, s->misses);
+	struct attempt *a = calloc(1, sizeof(*a));
+	uint32_t limit = attempt_limit(o, now);
 
-	o->began = now;
-	o->relayed = use_relay(s);
-	limit += o->op->wait_ms;
+	if (a == NULL)
+		abort();
+	a->o = o;
+	a->began = now;
+	a->relayed = use_relay(s);
+	o->running++;
 	mu_count(o->op->kind == MU__STORE_OP__KIND__WRITE ? MU_M_PLATFORM_WRITES
 							  : MU_M_PLATFORM_READS,
 	    1);
-	if (o->relayed)
-		s->relay.run(s->relay.arg, o->op, limit, on_result, o);
+	if (a->relayed)
+		s->relay.run(s->relay.arg, o->op, limit, on_result, a);
+	else
+		s->backend.run(s->backend.arg, o->op, limit, on_result, a);
+	mu_timer_set(s->loop, &o->timer,
+	    now + (mu_store_limit_ms(s->rtt, s->misses) + o->op->wait_ms) *
+		      MU_US_PER_MS);
+}
+
+/* No answer for a while, or the pause after a failure is over. */
+static void
+on_timer(void *arg)
+{
+	struct op *o = arg;
+	struct mu_store *s = o->s;
+	mu_us now = mu_loop_now(s->loop);
+
+	if (now >= o->deadline) {
+		give_up(o);
+		return;
+	}
+	if (o->running > 0) {
+		s->misses++;
+		s->failures++;
+		if (s->failures >= FAILURES_TO_RELAY)
+			lose(s, MU__STORE_RESULT__STATUS__UNKNOWN);
+	}
+	if (o->running < ATTEMPTS_AT_ONCE)
+		attempt(o);
 	else
-		s->backend.run(s->backend.arg, o->op, limit, on_result, o);
+		mu_timer_set(s->loop, &o->timer, o->deadline);
 }
 
 void
@@ -246,7 +331,7 @@
 	o->backoff_ms = RETRY_FIRST_MS;
 	o->done = done;
 	o->arg = arg;
-	o->timer.fn = attempt;
+	o->timer.fn = on_timer;
 	o->timer.arg = o;
 	s->pending++;
 	attempt(o);
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -505,11 +505,14 @@
 	return x;
 }
 
-void
+bool
 mu_up_cancel(struct mu_up_exchange *x)
 {
+	bool sent = x->sent;
+
 	if (x->reading)
 		x->cancelled = true;
 	else
 		conn_free(x);
+	return sent;
 }
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -78,8 +78,9 @@
  */
 struct mu_up_exchange *mu_up_start(struct mu_up_pool *p,
     const struct mu_up_req *req, const struct mu_up_hooks *hooks);
-/* Ends an exchange without a call of end; closes its connection. */
-void mu_up_cancel(struct mu_up_exchange *x);
+/* Ends an exchange without a call of end; closes its connection.  False only
+ * if no byte of the request left this process. */
+bool mu_up_cancel(struct mu_up_exchange *x);
 const char *mu_up_end_name(enum mu_up_end end);
 
 #endif
