Keep turns where their prompt is cached; hold new programs back when full

Ruled out: plain services (under a third busy) and the daemons (2 % of a core).

Change: a program's home remembers which endpoint holds the prompt of each line and tells it with the reservation; placement counts tokens that have to be read. Heartbeats tell peers of the same failure domain what each daemon has at endpoints. A program that has had no turn waits outside while all places are taken. All requests have the same urgency at endpoints: a more urgent one preempts another and its work is lost. Links only to a few daemons of other domains. account.c is split from home.c.

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1760,11 +1760,11 @@
     "endpoint",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
     offsetof(Mu__EndpointUse, endpoint),
     NULL,
-    NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
@@ -1921,7 +1921,7 @@
   (ProtobufCMessageInit) mu__beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mu__begin__field_descriptors[7] =
+static const ProtobufCFieldDescriptor mu__begin__field_descriptors[9] =
 {
   {
     "id",
@@ -2007,12 +2007,38 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "only_begun",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Begin, only_begun),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "parts",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Mu__Begin, n_parts),
+    offsetof(Mu__Begin, parts),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mu__begin__field_indices_by_name[] = {
   2,   /* field[2] = budget */
   0,   /* field[0] = id */
   3,   /* field[3] = most */
   6,   /* field[6] = need_history */
+  7,   /* field[7] = only_begun */
+  8,   /* field[8] = parts */
   5,   /* field[5] = previous */
   1,   /* field[1] = program */
   4,   /* field[4] = turn */
@@ -2020,7 +2046,7 @@
 static const ProtobufCIntRange mu__begin__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor mu__begin__descriptor =
 {
@@ -2030,25 +2056,27 @@
   "Mu__Begin",
   "mu",
   sizeof(Mu__Begin),
-  7,
+  9,
   mu__begin__field_descriptors,
   mu__begin__field_indices_by_name,
   1,  mu__begin__number_ranges,
   (ProtobufCMessageInit) mu__begin__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue mu__granted__status__enum_values_by_number[3] =
+static const ProtobufCEnumValue mu__granted__status__enum_values_by_number[4] =
 {
   { "OK", "MU__GRANTED__STATUS__OK", 0 },
   { "EXHAUSTED", "MU__GRANTED__STATUS__EXHAUSTED", 1 },
   { "UNAVAILABLE", "MU__GRANTED__STATUS__UNAVAILABLE", 2 },
+  { "NOT_BEGUN", "MU__GRANTED__STATUS__NOT_BEGUN", 3 },
 };
 static const ProtobufCIntRange mu__granted__status__value_ranges[] = {
-{0, 0},{0, 3}
+{0, 0},{0, 4}
 };
-static const ProtobufCEnumValueIndex mu__granted__status__enum_values_by_name[3] =
+static const ProtobufCEnumValueIndex mu__granted__status__enum_values_by_name[4] =
 {
   { "EXHAUSTED", 1 },
+  { "NOT_BEGUN", 3 },
   { "OK", 0 },
   { "UNAVAILABLE", 2 },
 };
@@ -2059,15 +2087,15 @@
   "Status",
   "Mu__Granted__Status",
   "mu",
-  3,
+  4,
   mu__granted__status__enum_values_by_number,
-  3,
+  4,
   mu__granted__status__enum_values_by_name,
   1,
   mu__granted__status__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor mu__granted__field_descriptors[3] =
+static const ProtobufCFieldDescriptor mu__granted__field_descriptors[5] =
 {
   {
     "id",
@@ -2105,8 +2133,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "endpoint",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Granted, endpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Granted, held),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mu__granted__field_indices_by_name[] = {
+  3,   /* field[3] = endpoint */
+  4,   /* field[4] = held */
   2,   /* field[2] = history */
   0,   /* field[0] = id */
   1,   /* field[1] = status */
@@ -2114,7 +2168,7 @@
 static const ProtobufCIntRange mu__granted__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor mu__granted__descriptor =
 {
@@ -2124,14 +2178,14 @@
   "Mu__Granted",
   "mu",
   sizeof(Mu__Granted),
-  3,
+  5,
   mu__granted__field_descriptors,
   mu__granted__field_indices_by_name,
   1,  mu__granted__number_ranges,
   (ProtobufCMessageInit) mu__granted__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mu__settle__field_descriptors[4] =
+static const ProtobufCFieldDescriptor mu__settle__field_descriptors[7] =
 {
   {
     "program",
@@ -2181,8 +2235,47 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "part",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Settle, part),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "endpoint",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Settle, endpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Settle, held),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mu__settle__field_indices_by_name[] = {
+  5,   /* field[5] = endpoint */
+  6,   /* field[6] = held */
+  4,   /* field[4] = part */
   0,   /* field[0] = program */
   3,   /* field[3] = record */
   1,   /* field[1] = turn */
@@ -2191,7 +2284,7 @@
 static const ProtobufCIntRange mu__settle__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor mu__settle__descriptor =
 {
@@ -2201,7 +2294,7 @@
   "Mu__Settle",
   "mu",
   sizeof(Mu__Settle),
-  4,
+  7,
   mu__settle__field_descriptors,
   mu__settle__field_indices_by_name,
   1,  mu__settle__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -62,7 +62,11 @@
   /*
    * cannot tell now
    */
-  MU__GRANTED__STATUS__UNAVAILABLE = 2
+  MU__GRANTED__STATUS__UNAVAILABLE = 2,
+  /*
+   * the program has had no turn yet
+   */
+  MU__GRANTED__STATUS__NOT_BEGUN = 3
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MU__GRANTED__STATUS)
 } Mu__Granted__Status;
 typedef enum _Mu__StoreOp__Kind {
@@ -296,14 +300,14 @@
 {
   ProtobufCMessage base;
   /*
-   * hash of the endpoint's name
+   * name of the instance
    */
-  uint64_t endpoint;
+  char *endpoint;
   uint32_t sent;
 };
 #define MU__ENDPOINT_USE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mu__endpoint_use__descriptor) \
-    , 0, 0 }
+    , (char *)protobuf_c_empty_string, 0 }
 
 
 /*
@@ -325,6 +329,9 @@
    * the store answers the sender
    */
   protobuf_c_boolean store_ok;
+  /*
+   * only within a failure domain
+   */
   size_t n_uses;
   Mu__EndpointUse **uses;
 };
@@ -361,10 +368,22 @@
    * the sender has no copy of it
    */
   protobuf_c_boolean need_history;
+  /*
+   * endpoints are full: no program that has had no
+   */
+  protobuf_c_boolean only_begun;
+  /*
+   * turn yet
+   */
+  /*
+   * of the prompt, the last one first
+   */
+  size_t n_parts;
+  char **parts;
 };
 #define MU__BEGIN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mu__begin__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
 
 
 struct  Mu__Granted
@@ -376,10 +395,18 @@
    * a TurnRecord list, oldest first; may be empty
    */
   ProtobufCBinaryData history;
+  /*
+   * holds most of the prompt; empty: not known
+   */
+  char *endpoint;
+  /*
+   * prompt tokens that it holds
+   */
+  uint64_t held;
 };
 #define MU__GRANTED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mu__granted__descriptor) \
-    , 0, MU__GRANTED__STATUS__OK, {0,NULL} }
+    , 0, MU__GRANTED__STATUS__OK, {0,NULL}, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
@@ -396,10 +423,22 @@
    * a TurnRecord; empty: none
    */
   ProtobufCBinaryData record;
+  /*
+   * last part of its prompt; empty: none
+   */
+  char *part;
+  /*
+   * that has the prompt in its cache now
+   */
+  char *endpoint;
+  /*
+   * tokens of it
+   */
+  uint64_t held;
 };
 #define MU__SETTLE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mu__settle__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, {0,NULL} }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, {0,NULL}, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
--- /dev/null
+++ b/src/account.h
@@ -0,0 +1,63 @@
+/*
+ * account.h -- programs at one daemon: their budgets and where their prompts
+ * are cached.
+ */
+#ifndef MU_ACCOUNT_H
+#define MU_ACCOUNT_H
+
+#include "reaper.h"
+#include "store.h"
+
+struct mu_accounts;
+
+enum mu_begin_status {
+	MU_BEGIN_OK,
+	MU_BEGIN_EXHAUSTED, /* the budget does not hold the turn */
+	MU_BEGIN_NO_TURN, /* there is no such turn to continue */
+	MU_BEGIN_NOT_BEGUN, /* the program has had no turn yet */
+	MU_BEGIN_UNAVAILABLE /* cannot tell now */
+};
+
+typedef void (*mu_begin_fn)(void *arg, enum mu_begin_status status);
+
+struct mu_accounts_conf {
+	uint64_t incarnation; /* of this daemon */
+	void *arg;
+	/* Whether another daemon's incarnation is known to live. */
+	bool (*alive)(void *arg, uint64_t incarnation);
+};
+
+struct mu_reservation {
+	const char *program;
+	const char *turn;
+	uint64_t budget; /* tokens, of the whole program */
+	uint64_t most; /* that the turn may use */
+	bool only_begun; /* not for a program that has had no turn yet */
+	mu_us deadline;
+};
+
+/* Where the cache of an endpoint holds the start of a prompt. */
+struct mu_cached {
+	char endpoint[MU_NAME_LEN]; /* empty: not known */
+	uint64_t held; /* tokens */
+};
+
+struct mu_accounts *mu_accounts_new(struct mu_loop *l, struct mu_store *s,
+    struct mu_reaper *reaper, const struct mu_accounts_conf *conf);
+void mu_accounts_free(struct mu_accounts *a);
+/* Reserves; fn may be called from within this function. */
+void mu_accounts_reserve(struct mu_accounts *a, const struct mu_reservation *r,
+    mu_begin_fn fn, void *arg);
+/* Ends a reservation, or the wait for it. */
+void mu_accounts_settle(struct mu_accounts *a, const char *program,
+    const char *turn, uint64_t used);
+/* An endpoint's cache holds a prompt that ends with part. */
+void mu_accounts_cached(struct mu_accounts *a, const char *program,
+    const char *part, const struct mu_cached *where);
+/* Finds the first of parts that an endpoint holds. */
+void mu_accounts_find(struct mu_accounts *a, const char *program,
+    char *const *parts, size_t n, struct mu_cached *out);
+/* This daemon leaves: budgets are given back as turns end. */
+void mu_accounts_leave(struct mu_accounts *a);
+
+#endif
--- a/src/call.c
+++ b/src/call.c
@@ -31,10 +31,10 @@
 #define EVENT_MAX ((size_t)1 << 20)
 #define RETRY_UNAVAILABLE_MS 200 /* about the time to draw or read anew */
 #define RETRY_OVERLOAD_MS 250
+/* some turns end meanwhile, and a caller can still come back several times */
+#define RETRY_NEW_MS 350
 #define FULL_BACK_US (50 * MU_US_PER_MS) /* after an endpoint's refusal */
 #define TRIES_MAX 6 /* endpoints asked for one request */
-#define URGENCY_STEP 2 /* endpoint's urgency for each priority of a route */
-#define URGENCY_MAX 9
 #define PREFILL_US 6 /* to read a prompt token, of a usual model endpoint */
 #define ANSWER_HEADERS MU_UP_HEADERS
 
@@ -149,13 +149,22 @@
 static void
 settle(struct mu_call *c, const Mu__TurnRecord *rec)
 {
-	uint64_t used = 0;
+	struct mu_settlement t = {0};
 
+	if (!c->grant.held)
+		return;
+	t.program = c->req.program;
+	t.turn = c->req.id;
+	t.rec = rec;
 	if (c->service != NULL)
-		used = c->events * c->service->tokens_per_event;
-	if (c->grant.held)
-		mu_home_settle(c->s->home, &c->grant, c->req.program, c->req.id,
-		    used, rec);
+		t.used = c->events * c->service->tokens_per_event;
+	if (c->events > 0 && c->req.nparts > 0 && *c->same != '\0') {
+		t.part = c->req.parts[0];
+		(void)snprintf(t.cached.endpoint, sizeof(t.cached.endpoint),
+		    "%s", c->same);
+		t.cached.held = c->req.prompt_tokens + t.used;
+	}
+	mu_home_settle(c->s->home, &c->grant, &t);
 }
 
 /* Ends the timer, the place in a queue and the reservation. */
@@ -599,14 +608,10 @@
 send_headers(struct mu_call *c, struct mu_buf *to)
 {
 	struct mu_send_head h = {0};
-	uint32_t urgency = 1 + URGENCY_STEP * c->route->priority;
 	mu_us left = c->deadline - mu_loop_now(c->s->loop);
 
-	if (!c->rank.begun)
-		urgency++;
 	h.endpoint = c->target->info.name;
 	h.left_ms = (uint32_t)(left / MU_US_PER_MS);
-	h.urgency = urgency < URGENCY_MAX ? urgency : URGENCY_MAX;
 	h.last_event = c->events > 0 ? c->last_event : c->req.last_event;
 	if (mu_buf_add(to, c->req.headers, strlen(c->req.headers)) != 0 ||
 	    c->s->dialect->write_send(to, &h) != 0)
@@ -661,6 +666,25 @@
 	return false;
 }
 
+/* Prompt tokens that each endpoint would have to read. */
+static void
+count_missing(const struct mu_call *c, struct mu_candidate *cand,
+    struct mu_target *const *who, uint32_t n)
+{
+	const struct mu_cached *at = &c->grant.cached;
+	uint64_t have;
+	uint32_t i;
+
+	for (i = 0; i < n; i++) {
+		have = 0;
+		if (strcmp(who[i]->info.name, at->endpoint) == 0)
+			have = at->held;
+		cand[i].missing = have < c->req.prompt_tokens
+				      ? (uint32_t)(c->req.prompt_tokens - have)
+				      : 0;
+	}
+}
+
 /* Leaves usable what this call may be sent to. */
 static void
 narrow(const struct mu_call *c, struct mu_candidate *cand,
@@ -725,6 +749,7 @@
 	for (;;) {
 		n = mu_group_view(&c->s->targets, c->group, cand, who);
 		narrow(c, cand, who, n);
+		count_missing(c, cand, who, n);
 		demand(c, &d);
 		choice = mu_choose(cand, n, &d, &c->s->targets.rng);
 		if (choice.kind != MU_CHOICE_SEND)
@@ -814,6 +839,9 @@
 	case MU_BEGIN_NO_TURN:
 		refuse(c, 404, 0, "no_such_turn");
 		break;
+	case MU_BEGIN_NOT_BEGUN:
+		refuse(c, 503, RETRY_NEW_MS, "no_place_for_new_programs");
+		break;
 	case MU_BEGIN_UNAVAILABLE:
 		refuse(c, 503, RETRY_UNAVAILABLE_MS, "state_unavailable");
 		break;
@@ -833,6 +861,11 @@
 	b.turn = c->req.id;
 	b.previous = c->req.previous;
 	b.keep = c->route->keep;
+	b.parts = c->req.parts;
+	b.nparts = c->req.nparts;
+	b.only_begun =
+	    c->req.previous == NULL &&
+	    !mu_choose_admit(mu_group_pressure(&c->s->targets, c->group));
 	b.deadline = c->deadline;
 	c->state = ST_BEGIN;
 	c->beginning = true;
--- a/src/call.h
+++ b/src/call.h
@@ -26,6 +26,9 @@
 	uint32_t most_tokens; /* that this turn may generate */
 	const char *previous; /* turn that it continues; NULL: none */
 	const char *last_event; /* event that the caller has; NULL: none */
+	char **parts; /* of the prompt, but for the first, the last one first */
+	size_t nparts;
+	const char *first_part; /* of the prompt, shared by many; NULL: none */
 };
 
 struct mu_call;
--- a/src/choose.c
+++ b/src/choose.c
@@ -8,20 +8,33 @@
  * failure domain costs a share of a call more, since its bytes are paid for;
  * under load that is soon outweighed.  Among equals the draw is random, so
  * that daemons with the same view don't follow one another.
+ *
+ * A program that goes on where its prompt is cached saves the time to read it,
+ * which under load is most of the work; so programs stay where they are unless
+ * that endpoint is far fuller than others.
  */
 #include "choose.h"
 #include "view.h"
 
-#define FULL_RATIO \
-	1.5 /* of its slots: what an endpoint queues itself keeps \
-	       its batch full over the way of an answer */
+/* of its slots: what an endpoint queues itself keeps its batch full over
+ * the way of an answer */
+#define FULL_RATIO 1.5
 #define FAR_SHARE 0.10 /* of a call's time, for bytes between domains */
 #define PACE_SHARE 0.02 /* slower pace of a call for each one beside it */
 #define TIE_SHARE 0.03 /* costs closer than this are equal */
+/* above it requests queue, and each program that begins makes all of them
+ * late */
+#define NEW_PRESSURE 0.95
 #define RETRY_MIN_MS 100
 #define RETRY_MAX_MS 900 /* callers heed a third of their time at most */
 #define NONE_RETRY_MS 300 /* about until a new list of endpoints is read */
 
+bool
+mu_choose_admit(double pressure)
+{
+	return pressure < NEW_PRESSURE;
+}
+
 static double
 load(const struct mu_candidate *c)
 {
@@ -50,7 +63,8 @@
 		cost += call * (l - s + 1) / s;
 	if (!c->near)
 		cost += call * FAR_SHARE;
-	cost += (double)c->missing * (double)d->token;
+	/* While it reads a prompt, the others in its batch wait. */
+	cost += (double)c->missing * (double)d->token * (1 + l / s);
 	return cost * c->slow;
 }
 
--- a/src/choose.h
+++ b/src/choose.h
@@ -54,6 +54,13 @@
 struct mu_choice mu_choose_wait(const struct mu_candidate *c, uint32_t n,
     const struct mu_demand *d, uint32_t ahead);
 
+/*
+ * Whether a program that has had no turn yet may begin: the load is more
+ * programs than the endpoints can bring to their end in time.  pressure is the
+ * share of their places that are taken.
+ */
+bool mu_choose_admit(double pressure);
+
 /* A request that waits for a place. */
 struct mu_waiting {
 	uint32_t priority; /* of its route; 0 is the most urgent */
--- a/src/home.h
+++ b/src/home.h
@@ -2,31 +2,28 @@
  * home.h -- where a program's budget and recent history are kept in memory.
  *
  * Each program has a home among the daemons of a failure domain, chosen by
- * rendezvous hashing.  Any daemon can do the home's work, since the budget is
+ * rendezvous hashing.  Any daemon can do the home's work, since budgets are
  * drawn by conditional writes; the home only saves store calls.  So when the
  * home cannot be reached, the daemon that asks does it itself, at once.
  */
 #ifndef MU_HOME_H
 #define MU_HOME_H
 
+#include "account.h"
 #include "history.h"
 #include "mesh.h"
 
 struct mu_home;
 
-enum mu_begin_status {
-	MU_BEGIN_OK,
-	MU_BEGIN_EXHAUSTED, /* the budget does not hold the turn */
-	MU_BEGIN_NO_TURN, /* there is no such turn to continue */
-	MU_BEGIN_UNAVAILABLE
-};
-
 struct mu_begin {
 	const char *program; /* empty: no budget */
 	uint64_t budget;
 	uint64_t most;
 	const char *turn;
 	const char *previous; /* NULL: none */
+	char *const *parts; /* of the prompt, the last one first */
+	size_t nparts;
+	bool only_begun; /* not for a program that has had no turn yet */
 	mu_us keep; /* of records read */
 	mu_us deadline;
 };
@@ -37,9 +34,18 @@
 	bool remote;
 	char host[MU_NAME_LEN];
 	uint64_t incarnation; /* of the home that gave it */
+	struct mu_cached cached; /* where the prompt's start is cached */
 };
 
-typedef void (*mu_begin_fn)(void *arg, enum mu_begin_status status);
+/* How a turn ended. */
+struct mu_settlement {
+	const char *program;
+	const char *turn;
+	uint64_t used; /* tokens */
+	const Mu__TurnRecord *rec; /* when it is one of the history */
+	const char *part; /* last of its prompt; NULL: not cached */
+	struct mu_cached cached; /* where it is cached now */
+};
 
 struct mu_home_conf {
 	const char *host;
@@ -54,16 +60,13 @@
 
 /*
  * Reserves the turn's budget and brings its history into memory.  *grant must
- * stay until fn, which is never called from within this function unless
- * nothing has to be waited for.
+ * stay until fn, which is not called from within this function unless nothing
+ * has to be waited for.
  */
 void mu_home_begin(struct mu_home *h, const struct mu_begin *b,
     struct mu_grant *grant, mu_begin_fn fn, void *arg);
-/* Ends a turn: tokens used, and its record if it is one of the history. */
-void
-mu_home_settle(struct mu_home *h, struct mu_grant *grant, const char *program,
-    const char *turn, uint64_t used, const Mu__TurnRecord *rec);
-
+void mu_home_settle(
+    struct mu_home *h, struct mu_grant *grant, const struct mu_settlement *s);
 /* This daemon leaves: budget that it holds is given back as turns end. */
 void mu_home_leave(struct mu_home *h);
 
--- a/src/ledger.c
+++ b/src/ledger.c
@@ -8,7 +8,7 @@
  */
 #include "ledger.h"
 
-#define DRAWS 3 /* a program's budget in so many draws */
+#define DRAWS 2 /* a program's budget in so many draws at the least */
 #define NEARLY_DRAWN 2 /* largest turns that must stay in the row */
 
 static uint64_t
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -20,6 +20,7 @@
 
 #include "buf.h"
 #include "frame.h"
+#include "hmap.h"
 #include "log.h"
 #include "mesh.h"
 
@@ -28,6 +29,9 @@
 #define DIAL_US (1 * MU_US_PER_S) /* between two attempts to one peer */
 #define CONNECT_US (500 * MU_US_PER_MS)
 #define BACKLOG 128
+/* to each other failure domain: for store calls that this one cannot make,
+ * and for callers when it is all gone */
+#define FAR_LINKS 3
 
 struct mu_mesh_link {
 	struct cds_list_head node;
@@ -57,6 +61,7 @@
 	struct mu_mesh_conf conf;
 	struct mu_mesh_hooks hooks;
 	char host[MU_NAME_LEN];
+	char domain[MU_NAME_LEN];
 	struct mu_watch listener;
 	struct mu_timer timer;
 	struct cds_list_head peers;
@@ -102,6 +107,8 @@
 	if (up == p->up)
 		return;
 	p->up = up;
+	if (!up)
+		p->calls = false;
 	mu_log(up ? MU_LOG_INFO : MU_LOG_WARN, "mesh",
 	    up ? "peer_up" : "peer_down", "{s:s,s:b,s:I}", "host", p->host,
 	    "connected", p->connected, "heard_ms_ago",
@@ -190,22 +197,29 @@
 on_beat(struct mu_mesh *m, Mu__Frame *f)
 {
 	struct mu_peer *p = mu_mesh_peer(m, f->beat->host);
+	Mu__Beat *before;
 
 	if (p == NULL)
 		return;
-	if (p->beat != NULL)
-		mu__beat__free_unpacked(p->beat, NULL);
+	before = p->beat;
 	p->beat = f->beat;
 	f->body_case = MU__FRAME__BODY__NOT_SET;
 	p->incarnation = p->beat->incarnation;
 	p->heard = mu_loop_now(m->loop);
+	if (!p->calls) {
+		p->calls = true;
+		p->wanted = true;
+		p->dial_at = 0;
+	}
 	p->leaving = p->beat->leaving;
 	p->ready = p->beat->ready;
 	p->store_ok = p->beat->store_ok;
 	p->config_version = p->beat->config_version;
 	set_up(m, p);
 	if (m->hooks.heard != NULL)
-		m->hooks.heard(m->hooks.arg, p);
+		m->hooks.heard(m->hooks.arg, p, before);
+	if (before != NULL)
+		mu__beat__free_unpacked(before, NULL);
 }
 
 static void
@@ -364,6 +378,36 @@
 	p->link->connecting = true;
 }
 
+/* Rank of p among the peers of its domain for this daemon; 0 is the first. */
+static unsigned
+rank_of(struct mu_mesh *m, const struct mu_peer *p)
+{
+	uint64_t w = mu_hash(m->host) ^ mu_hash(p->host);
+	struct mu_peer *q;
+	unsigned rank = 0;
+
+	cds_list_for_each_entry (q, &m->peers, node)
+		if (q != p && strcmp(q->domain, p->domain) == 0 &&
+		    (mu_hash(m->host) ^ mu_hash(q->host)) > w)
+			rank++;
+	return rank;
+}
+
+/* All peers of this domain, a few of each other one, and those that keep a
+ * link to this daemon, so that both hear each other. */
+static void
+choose_links(struct mu_mesh *m)
+{
+	struct mu_peer *p;
+
+	cds_list_for_each_entry (p, &m->peers, node) {
+		p->wanted = p->calls || strcmp(p->domain, m->domain) == 0 ||
+			    rank_of(m, p) < FAR_LINKS;
+		if (!p->wanted && p->link != NULL)
+			link_close(p->link);
+	}
+}
+
 static void
 on_accept(void *arg, uint32_t events __attribute__((unused)))
 {
@@ -381,6 +425,7 @@
 	Mu__Frame f = MU__FRAME__INIT;
 	Mu__Beat *b = malloc(sizeof(*b));
 	struct mu_peer *p;
+	size_t nuses;
 
 	if (b == NULL)
 		return;
@@ -390,9 +435,13 @@
 	m->hooks.fill(m->hooks.arg, b);
 	f.body_case = MU__FRAME__BODY_BEAT;
 	f.beat = b;
-	cds_list_for_each_entry (p, &m->peers, node)
+	nuses = b->n_uses;
+	cds_list_for_each_entry (p, &m->peers, node) {
+		b->n_uses = strcmp(p->domain, m->domain) == 0 ? nuses : 0;
 		if (p->connected)
 			(void)post(p->link, &f);
+	}
+	b->n_uses = nuses;
 	mu__beat__free_unpacked(b, NULL);
 }
 
@@ -412,7 +461,7 @@
 		/* Requests on the link of a silent peer end with it. */
 		if (p->up && now - p->heard >= silence && p->link != NULL)
 			link_close(p->link);
-		if (p->link == NULL && now >= p->dial_at)
+		if (p->wanted && p->link == NULL && now >= p->dial_at)
 			dial(m, p);
 		set_up(m, p);
 	}
@@ -436,6 +485,7 @@
 	m->conf = *conf;
 	m->hooks = *hooks;
 	strncpy(m->host, conf->host, sizeof(m->host) - 1);
+	strncpy(m->domain, conf->domain, sizeof(m->domain) - 1);
 	CDS_INIT_LIST_HEAD(&m->peers);
 	CDS_INIT_LIST_HEAD(&m->links);
 	m->listener.fd = socket_for(conf->listen, &sin);
@@ -513,8 +563,8 @@
 	copy_text(p->addr, sizeof(p->addr), row->mesh_addr);
 	copy_text(p->caller_addr, sizeof(p->caller_addr), row->caller_addr);
 	copy_text(p->domain, sizeof(p->domain), row->domain);
-	p->listed = true;
-	if (p->link == NULL && p->dial_at <= mu_loop_now(m->loop))
+	choose_links(m);
+	if (p->wanted && p->link == NULL && p->dial_at <= mu_loop_now(m->loop))
 		dial(m, p);
 }
 
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -1,8 +1,9 @@
 /*
  * mesh.h -- links between the daemons of the serving path, on the loop.
  *
- * Each daemon dials every other one that it knows, sends its heartbeats and
- * requests over the link that it dialled, and gets the replies there.  A peer
+ * Each daemon dials the others of its failure domain and a few of each other
+ * domain, sends its heartbeats and requests over the link that it dialled, and
+ * gets the replies there.  A peer
  * is up while that link stands and its own heartbeats have been heard within
  * the silence limit.
  */
@@ -30,7 +31,8 @@
 	bool leaving;
 	bool ready;
 	bool store_ok;
-	bool listed; /* in the newest list of daemons */
+	bool wanted; /* this daemon keeps a link to it */
+	bool calls; /* it keeps a link to this daemon */
 	uint64_t config_version;
 	Mu__Beat *beat; /* the last one; NULL: none */
 	struct mu_mesh_link *link; /* dialled by this daemon */
@@ -39,6 +41,7 @@
 
 struct mu_mesh_conf {
 	const char *host;
+	const char *domain;
 	const char *listen; /* IP:PORT */
 	uint64_t incarnation;
 	uint32_t heartbeat_ms;
@@ -49,8 +52,8 @@
 	void *arg;
 	/* Fills a heartbeat; its memory is freed as that of an unpacked one. */
 	void (*fill)(void *arg, Mu__Beat *b);
-	/* May be NULL. */
-	void (*heard)(void *arg, struct mu_peer *p);
+	/* May be NULL.  before is the heartbeat before p->beat, or NULL. */
+	void (*heard)(void *arg, struct mu_peer *p, const Mu__Beat *before);
 	void (*changed)(void *arg, struct mu_peer *p); /* up or down */
 	/* A BEGIN, SETTLE or RELAY. */
 	void (*request)(
@@ -65,7 +68,7 @@
     struct mu_error *e);
 void mu_mesh_free(struct mu_mesh *m);
 
-/* Adds or updates a peer; a NULL row marks all as unlisted. */
+/* Adds or updates a peer. */
 void mu_mesh_learn(struct mu_mesh *m, const Mu__DaemonRow *row);
 void mu_mesh_forget(struct mu_mesh *m, const char *host);
 struct cds_list_head *mu_mesh_peers(struct mu_mesh *m);
--- a/src/serve.c
+++ b/src/serve.c
@@ -16,12 +16,12 @@
 #include "serve.h"
 
 #define DAEMON_TABLE "daemons"
-#define CONFIG_WAIT_MS \
-	1000 /* a change is seen at once; a silent connection \
-		after this and an answer's limit */
-#define ENDPOINT_EVERY_MS \
-	400 /* several within the time that an endpoint \
-	       serves on after it says that it leaves */
+/* a change is seen at once; a silent connection after this and an answer's
+ * limit */
+#define CONFIG_WAIT_MS 1000
+/* twice within the time that an endpoint serves on after it says that it
+ * leaves */
+#define ENDPOINT_EVERY_MS 800
 #define DAEMON_WAIT_MS 2000
 #define HEARTBEAT_MS 200
 #define SILENCE_MS 700 /* three heartbeats and the way */
@@ -134,6 +134,30 @@
 		mu__daemon_row__free_unpacked(d, NULL);
 }
 
+static void
+fill_uses(struct mu_serve *s, Mu__Beat *b)
+{
+	struct mu_hmap *m = &s->targets.by_name;
+	struct mu_target *x;
+	struct mu_hnode *n;
+	Mu__EndpointUse *u;
+	size_t i;
+
+	b->uses = calloc(m->count + 1, sizeof(Mu__EndpointUse *));
+	if (b->uses == NULL)
+		return;
+	for (i = 0; i < m->nbuckets; i++)
+		for (n = m->bucket[i]; n != NULL; n = n->next) {
+			x = MU_OWNER(n, struct mu_target, node);
+			if (x->sent == 0 || (u = malloc(sizeof(*u))) == NULL)
+				continue;
+			mu__endpoint_use__init(u);
+			u->endpoint = strdup(x->info.name);
+			u->sent = x->sent;
+			b->uses[b->n_uses++] = u;
+		}
+}
+
 static void
 fill_beat(void *arg, Mu__Beat *b)
 {
@@ -143,6 +167,36 @@
 	b->ready = mu_serve_ready(s);
 	b->config_version = s->routes != NULL ? s->routes->version : 0;
 	b->store_ok = mu_store_ok(s->store);
+	fill_uses(s, b);
+}
+
+/* Takes what a peer has at endpoints into their load. */
+static void
+count_uses(struct mu_serve *s, const Mu__Beat *b, bool add)
+{
+	size_t i;
+
+	for (i = 0; b != NULL && i < b->n_uses; i++)
+		mu_targets_peer(&s->targets, b->uses[i]->endpoint,
+		    add ? 0 : b->uses[i]->sent, add ? b->uses[i]->sent : 0);
+}
+
+static void
+on_heard(void *arg, struct mu_peer *p, const Mu__Beat *before)
+{
+	count_uses(arg, before, false);
+	count_uses(arg, p->beat, true);
+}
+
+/* What a peer that is gone had at endpoints will end soon. */
+static void
+on_peer_changed(void *arg, struct mu_peer *p)
+{
+	if (p->up || p->beat == NULL)
+		return;
+	count_uses(arg, p->beat, false);
+	mu__beat__free_unpacked(p->beat, NULL);
+	p->beat = NULL;
 }
 
 /* Operations of peers that the store does not answer. */
@@ -348,9 +402,10 @@
 mu_serve_open(struct mu_serve *s, struct mu_loop *l,
     const struct mu_store_backend *backend, struct mu_error *e)
 {
-	struct mu_mesh_conf mc = {s->conf.host, s->conf.mesh_addr,
-	    s->conf.incarnation, HEARTBEAT_MS, SILENCE_MS};
-	struct mu_mesh_hooks hooks = {s, fill_beat, NULL, NULL, on_request};
+	struct mu_mesh_conf mc = {s->conf.host, s->conf.domain,
+	    s->conf.mesh_addr, s->conf.incarnation, HEARTBEAT_MS, SILENCE_MS};
+	struct mu_mesh_hooks hooks = {
+	    s, fill_beat, on_heard, on_peer_changed, on_request};
 	struct mu_home_conf hc = {
 	    s->conf.host, s->conf.domain, s->conf.incarnation};
 	struct mu_store_relay relay = {s, relay_available, relay_run};
--- a/src/serve.h
+++ b/src/serve.h
@@ -23,7 +23,6 @@
 struct mu_send_head {
 	const char *endpoint; /* instance that is to run it */
 	uint32_t left_ms; /* until the caller gives up */
-	uint32_t urgency; /* 0 is the most urgent, 9 the least */
 	const char *last_event; /* goes on after this event; NULL: from the
 				   start */
 };
--- a/src/targets.c
+++ b/src/targets.c
@@ -1,8 +1,9 @@
 /*
  * targets.c -- endpoints of the serving path and what is believed of them.
  *
- * An endpoint's load is what this daemon has there plus what others had when
- * the endpoint last told, which fades as the answer ages.  Health comes from
+ * An endpoint's load is what this daemon has there plus what others have: what
+ * the peers of the failure domain tell, or what the endpoint last told, which
+ * fades as that answer ages, whichever is more.  Health comes from
  * answers only (eject.c), so that no probe is needed.
  */
 #include <jansson.h>
@@ -209,9 +210,38 @@
 static double
 others_now(const struct mu_target *x, mu_us now)
 {
-	if (x->told_at == 0)
-		return 0;
-	return x->others * exp(-(double)(now - x->told_at) / FADE_US);
+	double told = 0;
+
+	if (x->told_at != 0)
+		told = x->others * exp(-(double)(now - x->told_at) / FADE_US);
+	return told > x->peers ? told : x->peers;
+}
+
+void
+mu_targets_peer(
+    struct mu_targets *t, const char *name, uint32_t before, uint32_t now)
+{
+	struct mu_target *x = find(t, name);
+
+	if (x == NULL)
+		return;
+	x->peers = x->peers + now > before ? x->peers + now - before : 0;
+}
+
+double
+mu_group_pressure(const struct mu_targets *t, const struct mu_group *g)
+{
+	mu_us now = mu_loop_now(t->loop);
+	double places = 0, taken = g->nwaiting;
+	struct mu_target *x;
+
+	cds_list_for_each_entry (x, &g->targets, in_group) {
+		if (x->info.leaving)
+			continue;
+		places += x->info.slots;
+		taken += x->sent + others_now(x, now);
+	}
+	return places > 0 ? taken / places : 0;
 }
 
 uint32_t
--- a/src/targets.h
+++ b/src/targets.h
@@ -34,6 +34,7 @@
 	bool mark; /* named by the list being read */
 	struct mu_up_pool pool;
 	uint32_t sent; /* requests of this daemon there now */
+	uint32_t peers; /* requests of peers there, by their heartbeats */
 	double others; /* of other callers, when last told */
 	mu_us told_at;
 	struct mu_health health;
@@ -80,6 +81,12 @@
 /* What mu_choose() takes, in the order of the group; returns the count. */
 uint32_t mu_group_view(const struct mu_targets *t, const struct mu_group *g,
     struct mu_candidate *c, struct mu_target **who);
+/* A peer had `before` and now has `now` requests at an endpoint. */
+void mu_targets_peer(
+    struct mu_targets *t, const char *name, uint32_t before, uint32_t now);
+/* Share of the places of a group that are taken, by requests that run or wait
+ * there: 1 when all are. */
+double mu_group_pressure(const struct mu_targets *t, const struct mu_group *g);
 /* The endpoint says how many requests it has, running and waiting. */
 void mu_target_told(struct mu_target *x, mu_us now, uint32_t running,
     uint32_t waiting, uint32_t slots);
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -25,9 +25,8 @@
 #include "buf.h"
 #include "upstream.h"
 
-#define CONNECT_US \
-	(250 * MU_US_PER_MS) /* a first SYN and its answer; a lost \
-				SYN is resent only after 1 s */
+/* a first SYN and its answer; a lost SYN is resent only after 1 s */
+#define CONNECT_US (250 * MU_US_PER_MS)
 #define UNACKED_MS 1000 /* a silent connection is given up after this */
 #define IDLE_US (4 * MU_US_PER_S) /* without a Keep-Alive header */
 #define FRESH_US (500 * MU_US_PER_MS) /* idle time that leaves no doubt */
