Store: wait while it is out; learn how long idle connections can be trusted

Change: while neither the store nor a peer's way to it answers, operations wait and one at a time asks every 60 ms; requests that need it are refused at once with a time to come back. Each pool of connections learns how long an idle one can be trusted.

--- a/Makefile
+++ b/Makefile
@@ -125,4 +125,4 @@
 clean:
 	rm -rf build build-asan build-tsan target
 
--include $(shell find build* -name '*.d' 2>/dev/null)
+-include $(shell find build* target -name '*.d' 2>/dev/null)
--- a/src/call.c
+++ b/src/call.c
@@ -30,6 +30,9 @@
 #define BODY_MAX ((size_t)8 << 20) /* of an answer that is kept whole */
 #define EVENT_MAX ((size_t)1 << 20)
 #define RETRY_UNAVAILABLE_MS 200 /* about the time to draw or read anew */
+#define RETRY_OUTAGE_MS \
+	900 /* the longest that callers heed: outages last \
+	       seconds, and they come back only so often */
 #define RETRY_OVERLOAD_MS 250
 /* some turns end meanwhile, and a caller can still come back several times */
 #define RETRY_NEW_MS 350
@@ -634,7 +637,6 @@
 	r.body = mu_buf_len(&c->body) > 0 ? mu_buf_data(&c->body) : c->req.body;
 	r.len = mu_buf_len(&c->body) > 0 ? mu_buf_len(&c->body) : c->req.len;
 	r.has_body = c->req.has_body;
-	r.fresh = !repeatable(c);
 	if (r.headers != NULL)
 		c->exchange = mu_up_start(&x->pool, &r, &hooks);
 	mu_buf_clear(&headers);
@@ -843,7 +845,10 @@
 		refuse(c, 503, RETRY_NEW_MS, "no_place_for_new_programs");
 		break;
 	case MU_BEGIN_UNAVAILABLE:
-		refuse(c, 503, RETRY_UNAVAILABLE_MS, "state_unavailable");
+		refuse(c, 503,
+		    mu_store_out(c->s->store) ? RETRY_OUTAGE_MS
+					      : RETRY_UNAVAILABLE_MS,
+		    "state_unavailable");
 		break;
 	}
 	call_unref(c);
--- a/src/store.c
+++ b/src/store.c
@@ -12,6 +12,7 @@
  */
 #include <jansson.h>
 #include <stdlib.h>
+#include <urcu/list.h>
 
 #include "log.h"
 #include "metric.h"
@@ -25,6 +26,8 @@
 #define RETRY_CAP_MS 250
 #define DIRECT_AGAIN_US (400 * MU_US_PER_MS) /* relayed until then */
 #define FAILURES_TO_RELAY 2
+#define FAILURES_TO_WAIT 4 /* not an answer lost now and then */
+#define PROBE_US (60 * MU_US_PER_MS) /* some times an answer's usual time */
 #define ATTEMPTS_AT_ONCE 3 /* of one operation, in progress */
 #define START_RTT_US (10 * MU_US_PER_MS) /* before the first answer */
 
@@ -38,9 +41,13 @@
 	mu_us direct_at; /* when the direct way is tried again */
 	unsigned pending;
 	bool ok;
+	struct cds_list_head waiting; /* for the store to answer again */
+	struct mu_timer probe;
 };
 
 struct op {
+	struct cds_list_head node; /* while waiting */
+	bool waiting;
 	struct mu_store *s;
 	Mu__StoreOp *op;
 	mu_us deadline;
@@ -59,6 +66,8 @@
 	bool relayed;
 };
 
+static void on_probe(void *arg);
+
 struct mu_store *
 mu_store_new(struct mu_loop *l, const struct mu_store_backend *backend)
 {
@@ -69,6 +78,9 @@
 	s->loop = l;
 	s->backend = *backend;
 	s->rtt = START_RTT_US;
+	CDS_INIT_LIST_HEAD(&s->waiting);
+	s->probe.fn = on_probe;
+	s->probe.arg = s;
 	return s;
 }
 
@@ -163,6 +175,8 @@
 		lose(s, st);
 	else if (s->failures == 0)
 		set_ok(s, true, st);
+	if (s->failures == 0 && !cds_list_empty(&s->waiting))
+		mu_timer_set(s->loop, &s->probe, mu_loop_now(s->loop));
 }
 
 static void
@@ -182,6 +196,9 @@
 
 	o->s->pending--;
 	o->ended = true;
+	if (o->waiting)
+		cds_list_del(&o->node);
+	o->waiting = false;
 	mu_timer_clear(o->s->loop, &o->timer);
 	op_release(o);
 	done(arg, r);
@@ -215,7 +232,7 @@
 		give_up(o);
 		return;
 	}
-	if (o->timer.slot == 0 || at < o->timer.at)
+	if (!o->waiting && (o->timer.slot == 0 || at < o->timer.at))
 		mu_timer_set(o->s->loop, &o->timer, at);
 	o->backoff_ms *= 2;
 	if (o->backoff_ms > RETRY_CAP_MS)
@@ -253,6 +270,29 @@
 	       s->relay.available(s->relay.arg);
 }
 
+bool
+mu_store_out(const struct mu_store *s)
+{
+	return s->failures >= FAILURES_TO_WAIT &&
+	       (s->relay.run == NULL || !s->relay.available(s->relay.arg));
+}
+
+/* While the store is out only one operation at a time asks whether it is back;
+ * the others wait. */
+static void
+wait_for_store(struct op *o)
+{
+	struct mu_store *s = o->s;
+
+	if (!o->waiting)
+		cds_list_add_tail(&o->node, &s->waiting);
+	o->waiting = true;
+	mu_timer_set(s->loop, &o->timer, o->deadline);
+	if (s->probe.slot == 0)
+		mu_timer_set(
+		    s->loop, &s->probe, mu_loop_now(s->loop) + PROBE_US);
+}
+
 /* Time that one attempt may take: the rest, so that a slow one is answered. */
 static uint32_t
 attempt_limit(const struct op *o, mu_us now)
@@ -310,7 +350,9 @@
 		if (s->failures >= FAILURES_TO_RELAY)
 			lose(s, MU__STORE_RESULT__STATUS__UNKNOWN);
 	}
-	if (o->running < ATTEMPTS_AT_ONCE)
+	if (mu_store_out(s))
+		wait_for_store(o);
+	else if (o->running < ATTEMPTS_AT_ONCE)
 		attempt(o);
 	else
 		mu_timer_set(s->loop, &o->timer, o->deadline);
@@ -334,7 +376,32 @@
 	o->timer.fn = on_timer;
 	o->timer.arg = o;
 	s->pending++;
-	attempt(o);
+	if (mu_store_out(s))
+		wait_for_store(o);
+	else
+		attempt(o);
+}
+
+/* Lets the one that waits longest try, or all when the store is back. */
+static void
+on_probe(void *arg)
+{
+	struct mu_store *s = arg;
+	struct op *o, *next;
+	bool out = mu_store_out(s);
+
+	cds_list_for_each_entry_safe (o, next, &s->waiting, node) {
+		if (o->running >= ATTEMPTS_AT_ONCE)
+			continue;
+		cds_list_del(&o->node);
+		o->waiting = false;
+		attempt(o);
+		if (out)
+			break;
+	}
+	if (!cds_list_empty(&s->waiting))
+		mu_timer_set(
+		    s->loop, &s->probe, mu_loop_now(s->loop) + PROBE_US);
 }
 
 void
--- a/src/store.h
+++ b/src/store.h
@@ -49,6 +49,9 @@
     struct mu_store *s, const Mu__StoreOp *op, mu_store_fn done, void *arg);
 /* Whether the store answered this daemon's last direct attempt. */
 bool mu_store_ok(const struct mu_store *s);
+/* Whether the store answers neither this daemon nor a peer: operations wait.
+ */
+bool mu_store_out(const struct mu_store *s);
 /* Operations in progress. */
 unsigned mu_store_pending(const struct mu_store *s);
 
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -9,6 +9,10 @@
  * A connection is kept only after an answer that ended where its framing says
  * so, when the request had been written whole and no byte followed.  Bytes on
  * an idle connection close it.
+ *
+ * Endpoints may drop idle connections without a word; what is sent next is
+ * lost.  So each pool learns for how long an idle connection can be trusted:
+ * a loss halves that time, uses that went well raise it again.
  */
 #include <arpa/inet.h>
 #include <errno.h>
@@ -29,8 +33,11 @@
 #define CONNECT_US (250 * MU_US_PER_MS)
 #define UNACKED_MS 1000 /* a silent connection is given up after this */
 #define IDLE_US (4 * MU_US_PER_S) /* without a Keep-Alive header */
-#define FRESH_US (500 * MU_US_PER_MS) /* idle time that leaves no doubt */
 #define KEEPALIVE_MARGIN_US (500 * MU_US_PER_MS) /* before the peer closes */
+/* trust in an idle connection at the start, and its bounds */
+#define TRUST_START_US (2 * MU_US_PER_S)
+#define TRUST_MIN_US (100 * MU_US_PER_MS)
+#define TRUST_RAISE 8 /* a good use raises it by a part of so many */
 #define READ_BYTES 16384
 #define SKIP_MAX 3 /* answers to other requests before one's own */
 #define HEADER_BYTES 8192
@@ -55,6 +62,7 @@
 	unsigned skipped;
 	mu_us idle_limit;
 	mu_us idle_since;
+	mu_us idled; /* before the current request; 0: a new connection */
 	/* Header being read; offsets into text. */
 	struct mu_buf text;
 	size_t name_at[MU_UP_HEADERS];
@@ -81,6 +89,7 @@
 	memset(p, 0, sizeof(*p));
 	p->loop = l;
 	p->max = max;
+	p->trusted = TRUST_START_US;
 	strncpy(p->addr, addr, sizeof(p->addr) - 1);
 	CDS_INIT_LIST_HEAD(&p->conns);
 }
@@ -110,6 +119,29 @@
 		conn_free(x);
 }
 
+/* A kept connection was lost before its answer began. */
+static void
+distrust(struct mu_up_exchange *x)
+{
+	struct mu_up_pool *p = x->pool;
+
+	if (x->idled == 0)
+		return;
+	p->trusted = x->idled / 2 < p->trusted ? x->idled / 2 : p->trusted;
+	if (p->trusted < TRUST_MIN_US)
+		p->trusted = TRUST_MIN_US;
+}
+
+/* A kept connection brought its answer. */
+static void
+trust(struct mu_up_exchange *x)
+{
+	struct mu_up_pool *p = x->pool;
+
+	if (x->idled >= p->trusted / 2)
+		p->trusted += p->trusted / TRUST_RAISE;
+}
+
 /* Ends the exchange with a failure: the hook is the last to be called. */
 static void
 fail(struct mu_up_exchange *x, enum mu_up_end end)
@@ -117,6 +149,8 @@
 	struct mu_up_hooks hooks = x->hooks;
 	bool sent = x->sent, busy = x->busy;
 
+	if (end == MU_UP_LOST && !x->started)
+		distrust(x);
 	conn_free(x);
 	if (busy)
 		hooks.end(hooks.arg, end, sent);
@@ -265,6 +299,7 @@
 
 	x->busy = false;
 	x->node.next = NULL;
+	trust(x);
 	if (clean && mu_buf_len(&x->out) == 0 &&
 	    http_should_keep_alive(&x->parser) && x->idle_limit > 0) {
 		x->idle_since = mu_loop_now(p->loop);
@@ -449,7 +484,7 @@
 
 /* An idle connection that has nothing to read and was used lately enough. */
 static struct mu_up_exchange *
-conn_idle(struct mu_up_pool *p, bool fresh)
+conn_idle(struct mu_up_pool *p)
 {
 	struct mu_up_exchange *x, *next;
 	char byte;
@@ -461,7 +496,8 @@
 			conn_free(x);
 			continue;
 		}
-		if (fresh && mu_loop_now(p->loop) - x->idle_since > FRESH_US)
+		x->idled = mu_loop_now(p->loop) - x->idle_since + 1;
+		if (x->idled > p->trusted)
 			return NULL; /* the others are idle for longer */
 		cds_list_del(&x->node);
 		p->idle--;
@@ -475,7 +511,7 @@
 mu_up_start(struct mu_up_pool *p, const struct mu_up_req *req,
     const struct mu_up_hooks *hooks)
 {
-	struct mu_up_exchange *x = conn_idle(p, req->fresh);
+	struct mu_up_exchange *x = conn_idle(p);
 
 	if (x == NULL)
 		x = conn_open(p);
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -41,6 +41,7 @@
 	uint32_t open;
 	uint32_t idle;
 	uint64_t opened; /* over the pool's life */
+	mu_us trusted; /* idle time after which connections still worked */
 	struct cds_list_head conns; /* idle ones, the last used first */
 };
 
@@ -62,7 +63,6 @@
 	const void *body;
 	size_t len;
 	bool has_body; /* a length is sent, also 0 */
-	bool fresh; /* not on a connection idle longer than a moment */
 };
 
 struct mu_up_exchange;
