Endpoints: leave alone what cannot be reached, tell overdue answers early

Change: an endpoint that cannot be reached is not used for a time that doubles, and heartbeats tell the peers of the failure domain; a first byte that takes eight times the usual counts as a failure at once, and what may be repeated goes elsewhere.

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1754,7 +1754,7 @@
   (ProtobufCMessageInit) mu__config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mu__endpoint_use__field_descriptors[2] =
+static const ProtobufCFieldDescriptor mu__endpoint_use__field_descriptors[3] =
 {
   {
     "endpoint",
@@ -1780,15 +1780,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "down_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mu__EndpointUse, down_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mu__endpoint_use__field_indices_by_name[] = {
+  2,   /* field[2] = down_ms */
   0,   /* field[0] = endpoint */
   1,   /* field[1] = sent */
 };
 static const ProtobufCIntRange mu__endpoint_use__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor mu__endpoint_use__descriptor =
 {
@@ -1798,7 +1811,7 @@
   "Mu__EndpointUse",
   "mu",
   sizeof(Mu__EndpointUse),
-  2,
+  3,
   mu__endpoint_use__field_descriptors,
   mu__endpoint_use__field_indices_by_name,
   1,  mu__endpoint_use__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -304,10 +304,14 @@
    */
   char *endpoint;
   uint32_t sent;
+  /*
+   * the sender could not connect: not to be used
+   */
+  uint32_t down_ms;
 };
 #define MU__ENDPOINT_USE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mu__endpoint_use__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
--- a/src/call.c
+++ b/src/call.c
@@ -37,6 +37,10 @@
 /* some turns end meanwhile, and a caller can still come back several times */
 #define RETRY_NEW_MS 350
 #define FULL_BACK_US (50 * MU_US_PER_MS) /* after an endpoint's refusal */
+/* A first byte that takes so many times the usual time is overdue. */
+#define LATE_FACTOR 8
+#define LATE_MIN_US (400 * MU_US_PER_MS)
+#define FIRST_SMOOTHING 16
 #define TRIES_MAX 6 /* endpoints asked for one request */
 #define PREFILL_US 6 /* to read a prompt token, of a usual model endpoint */
 #define ANSWER_HEADERS MU_UP_HEADERS
@@ -67,6 +71,8 @@
 	mu_us arrived;
 	mu_us deadline; /* final answer by then */
 	struct mu_timer timer;
+	struct mu_timer late; /* no byte of the answer for long */
+	bool overdue; /* its endpoint's health has been told so */
 	struct mu_grant grant;
 	struct mu_buf body; /* history and input; empty: the request's own */
 	/* Sending. */
@@ -97,6 +103,9 @@
 };
 
 static void place(struct mu_call *c);
+static bool repeatable(const struct mu_call *c);
+static void mark_tried(struct mu_call *c, const char *name);
+static void after_loss(struct mu_call *c, const char *why);
 static void retry_waiting(struct mu_serve *s, struct mu_group *g);
 
 /* Final answers. */
@@ -223,7 +232,8 @@
 	c->target = NULL;
 	c->exchange = NULL;
 	x->sent--;
-	if (x->listed)
+	mu_timer_clear(c->s->loop, &c->late);
+	if (x->listed && !(c->overdue && result == MU_HEALTH_FAILURE))
 		mu_target_ended(&c->s->targets, x, result, took);
 	mu_target_release(&c->s->targets, x);
 	retry_waiting(c->s, c->group);
@@ -240,6 +250,30 @@
 	leave_target(c, result, 0);
 }
 
+/*
+ * The answer is long overdue: an endpoint that hangs is told from a busy one
+ * before callers' time is over, and what may be repeated goes elsewhere.
+ */
+static void
+on_late(void *arg)
+{
+	struct mu_call *c = arg;
+
+	mu_log(MU_LOG_WARN, "call", "overdue", "{s:s,s:s,s:I,s:I}", "request",
+	    c->req.id, "endpoint", c->target->info.name, "ms",
+	    (json_int_t)((mu_loop_now(c->s->loop) - c->sent_at) / MU_US_PER_MS),
+	    "usual_ms", (json_int_t)(c->group->first / MU_US_PER_MS));
+	if (c->target->listed)
+		mu_target_ended(
+		    &c->s->targets, c->target, MU_HEALTH_FAILURE, 0);
+	c->overdue = true;
+	if (!repeatable(c) || c->ran + 1 >= c->route->max_endpoints)
+		return;
+	mark_tried(c, c->target->info.name);
+	cancel_exchange(c, MU_HEALTH_FAILURE);
+	after_loss(c, "overdue");
+}
+
 static void
 on_timer(void *arg)
 {
@@ -357,6 +391,7 @@
 	struct mu_call *c = arg;
 	struct mu_answer_head a = {0};
 	bool first = c->first_at == 0;
+	mu_us took;
 
 	c->s->dialect->read_answer(head, &a);
 	c->status = head->status;
@@ -369,6 +404,9 @@
 		c->target->full_until = MU_US_NEVER;
 	if (c->not_run)
 		return;
+	mu_timer_clear(c->s->loop, &c->late);
+	took = mu_loop_now(c->s->loop) - c->sent_at;
+	c->group->first += (took - c->group->first) / FIRST_SMOOTHING;
 	if (first) {
 		c->first_at = mu_loop_now(c->s->loop);
 		mu_observe(MU_H_FIRST, c->first_at - c->arrived);
@@ -589,6 +627,8 @@
 		    "endpoint", x->info.name, "end", mu_up_end_name(end),
 		    "sent", sent, "events", (json_int_t)c->events, "ms",
 		    (json_int_t)(took / MU_US_PER_MS));
+	if (end == MU_UP_CONNECT)
+		mu_target_died(x, now);
 	if (sent && !(end == MU_UP_WHOLE && c->not_run))
 		c->ran++;
 	leave_target(
@@ -629,6 +669,7 @@
 	struct mu_up_hooks hooks = {c, own_answer, on_head, on_body, on_end};
 	struct mu_up_req r = {0};
 	struct mu_buf headers = {0};
+	mu_us limit;
 
 	c->target = x;
 	r.method = c->req.method;
@@ -645,7 +686,11 @@
 		return false;
 	}
 	c->tries++;
+	c->overdue = false;
 	c->sent_at = mu_loop_now(c->s->loop);
+	limit = LATE_FACTOR * c->group->first;
+	mu_timer_set(c->s->loop, &c->late,
+	    c->sent_at + (limit > LATE_MIN_US ? limit : LATE_MIN_US));
 	if (c->tries == 1)
 		mu_observe(MU_H_QUEUE, c->sent_at - c->arrived);
 	if (mu_health_state(&mu_targets_eject, &x->health, c->sent_at) ==
@@ -943,6 +988,8 @@
 	c->arena = r->arena; /* outlives r */
 	r->arena = NULL;
 	c->references = 1;
+	c->late.fn = on_late;
+	c->late.arg = c;
 	c->arrived = mu_loop_now(s->loop);
 	c->state = ST_BEGIN;
 	mu_sse_init(&c->sse, EVENT_MAX);
--- a/src/serve.c
+++ b/src/serve.c
@@ -141,6 +141,7 @@
 	struct mu_target *x;
 	struct mu_hnode *n;
 	Mu__EndpointUse *u;
+	mu_us down;
 	size_t i;
 
 	b->uses = calloc(m->count + 1, sizeof(Mu__EndpointUse *));
@@ -149,11 +150,16 @@
 	for (i = 0; i < m->nbuckets; i++)
 		for (n = m->bucket[i]; n != NULL; n = n->next) {
 			x = MU_OWNER(n, struct mu_target, node);
-			if (x->sent == 0 || (u = malloc(sizeof(*u))) == NULL)
+			down = x->down_until - mu_loop_now(s->loop);
+			if ((x->sent == 0 && down <= 0) ||
+			    (u = malloc(sizeof(*u))) == NULL)
 				continue;
 			mu__endpoint_use__init(u);
 			u->endpoint = strdup(x->info.name);
 			u->sent = x->sent;
+			if (down > 0)
+				u->down_ms =
+				    (uint32_t)(down / MU_US_PER_MS) + 1;
 			b->uses[b->n_uses++] = u;
 		}
 }
@@ -178,7 +184,8 @@
 
 	for (i = 0; b != NULL && i < b->n_uses; i++)
 		mu_targets_peer(&s->targets, b->uses[i]->endpoint,
-		    add ? 0 : b->uses[i]->sent, add ? b->uses[i]->sent : 0);
+		    add ? 0 : b->uses[i]->sent, add ? b->uses[i]->sent : 0,
+		    add ? b->uses[i]->down_ms : 0);
 }
 
 static void
--- a/src/targets.c
+++ b/src/targets.c
@@ -14,6 +14,12 @@
 #include "log.h"
 #include "targets.h"
 
+/* An endpoint that cannot be reached is left alone for a time that doubles with
+ * each such time soon after the one before: it restarts, or goes up and down.
+ */
+#define DOWN_US (250 * MU_US_PER_MS)
+#define DOWN_SHIFT_MAX 4
+#define DEATH_MEMORY_US (15 * MU_US_PER_S)
 #define FADE_US 1e6 /* others' requests: about some calls' time */
 #define START_CALL_US (150 * MU_US_PER_MS) /* until calls were timed */
 
@@ -56,6 +62,7 @@
 	strncpy(g->name, service, sizeof(g->name) - 1);
 	g->node.key = g->name;
 	g->call = START_CALL_US;
+	g->first = START_CALL_US;
 	CDS_INIT_LIST_HEAD(&g->targets);
 	CDS_INIT_LIST_HEAD(&g->waiting);
 	mu_hmap_add(&t->groups, &g->node);
@@ -218,16 +225,37 @@
 }
 
 void
-mu_targets_peer(
-    struct mu_targets *t, const char *name, uint32_t before, uint32_t now)
+mu_targets_peer(struct mu_targets *t, const char *name, uint32_t before,
+    uint32_t now, uint32_t down_ms)
 {
 	struct mu_target *x = find(t, name);
 
 	if (x == NULL)
 		return;
+	if (down_ms > 0)
+		x->down_told = mu_loop_now(t->loop) + down_ms * MU_US_PER_MS;
 	x->peers = x->peers + now > before ? x->peers + now - before : 0;
 }
 
+void
+mu_target_died(struct mu_target *x, mu_us now)
+{
+	unsigned shift;
+
+	if (now < x->down_until)
+		return; /* several at once are one death */
+	if (x->died_at == 0 || now - x->died_at > DEATH_MEMORY_US)
+		x->deaths = 0;
+	shift = x->deaths < DOWN_SHIFT_MAX ? x->deaths : DOWN_SHIFT_MAX;
+	x->deaths++;
+	x->died_at = now;
+	x->down_until = now + (DOWN_US << shift);
+	mu_log(MU_LOG_WARN, "targets", "unreachable", "{s:s,s:s,s:i,s:I}",
+	    "endpoint", x->info.name, "addr", x->info.addr, "deaths",
+	    (int)x->deaths, "avoided_ms",
+	    (json_int_t)((DOWN_US << shift) / MU_US_PER_MS));
+}
+
 double
 mu_group_pressure(const struct mu_targets *t, const struct mu_group *g)
 {
@@ -258,6 +286,7 @@
 		who[n] = x;
 		memset(&c[n], 0, sizeof(c[n]));
 		c[n].usable = !x->info.leaving && now >= x->full_until &&
+			      now >= x->down_until && now >= x->down_told &&
 			      mu_health_state(&mu_targets_eject, &x->health,
 				  now) != MU_HEALTH_EJECTED;
 		c[n].sent = x->sent;
--- a/src/targets.h
+++ b/src/targets.h
@@ -39,7 +39,10 @@
 	mu_us told_at;
 	struct mu_health health;
 	mu_us full_until; /* it refused: no work until then */
-	unsigned lost; /* connections that failed since the last answer */
+	mu_us down_until; /* it could not be reached by this daemon */
+	mu_us down_told; /* as far as peers tell */
+	mu_us died_at; /* when it last could not be reached */
+	unsigned deaths; /* in a row, each soon after the one before */
 };
 
 /* The endpoints of one service and the requests that wait for them. */
@@ -51,6 +54,7 @@
 	struct cds_list_head waiting; /* calls, see call.c */
 	uint32_t nwaiting;
 	mu_us call; /* smoothed time of a call */
+	mu_us first; /* smoothed time until the first byte of an answer */
 	bool retrying; /* its waiting calls are being looked at */
 };
 
@@ -81,9 +85,12 @@
 /* What mu_choose() takes, in the order of the group; returns the count. */
 uint32_t mu_group_view(const struct mu_targets *t, const struct mu_group *g,
     struct mu_candidate *c, struct mu_target **who);
-/* A peer had `before` and now has `now` requests at an endpoint. */
-void mu_targets_peer(
-    struct mu_targets *t, const char *name, uint32_t before, uint32_t now);
+/* A peer had `before` and now has `now` requests at an endpoint, which it takes
+ * to be down for down_ms. */
+void mu_targets_peer(struct mu_targets *t, const char *name, uint32_t before,
+    uint32_t now, uint32_t down_ms);
+/* The endpoint could not be reached. */
+void mu_target_died(struct mu_target *x, mu_us now);
 /* Share of the places of a group that are taken, by requests that run or wait
  * there: 1 when all are. */
 double mu_group_pressure(const struct mu_targets *t, const struct mu_group *g);
