--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1818,7 +1818,7 @@
   (ProtobufCMessageInit) mu__endpoint_use__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mu__beat__field_descriptors[7] =
+static const ProtobufCFieldDescriptor mu__beat__field_descriptors[9] =
 {
   {
     "host",
@@ -1904,20 +1904,46 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "suspected",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Mu__Beat, n_suspected),
+    offsetof(Mu__Beat, suspected),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quarantined",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Mu__Beat, n_quarantined),
+    offsetof(Mu__Beat, quarantined),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mu__beat__field_indices_by_name[] = {
   4,   /* field[4] = config_version */
   0,   /* field[0] = host */
   1,   /* field[1] = incarnation */
   2,   /* field[2] = leaving */
+  8,   /* field[8] = quarantined */
   3,   /* field[3] = ready */
   5,   /* field[5] = store_ok */
+  7,   /* field[7] = suspected */
   6,   /* field[6] = uses */
 };
 static const ProtobufCIntRange mu__beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor mu__beat__descriptor =
 {
@@ -1927,7 +1953,7 @@
   "Mu__Beat",
   "mu",
   sizeof(Mu__Beat),
-  7,
+  9,
   mu__beat__field_descriptors,
   mu__beat__field_indices_by_name,
   1,  mu__beat__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -338,10 +338,20 @@
    */
   size_t n_uses;
   Mu__EndpointUse **uses;
+  /*
+   * requests under which one endpoint died
+   */
+  size_t n_suspected;
+  uint64_t *suspected;
+  /*
+   * requests under which several died
+   */
+  size_t n_quarantined;
+  uint64_t *quarantined;
 };
 #define MU__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mu__beat__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
--- a/src/account.c
+++ b/src/account.c
@@ -392,10 +392,7 @@
 			answer_held(p, w);
 			break;
 		case MU_LEDGER_DRAW:
-			if (mu_store_out(p->a->store))
-				answer(w, MU_BEGIN_UNAVAILABLE);
-			else
-				draw(p, a.draw, w->deadline);
+			draw(p, a.draw, w->deadline);
 			break;
 		case MU_LEDGER_EXHAUSTED:
 			mu_log(MU_LOG_INFO, "home", "budget_exhausted",
--- a/src/call.c
+++ b/src/call.c
@@ -30,9 +30,11 @@
 #define BODY_MAX ((size_t)8 << 20) /* of an answer that is kept whole */
 #define EVENT_MAX ((size_t)1 << 20)
 #define RETRY_UNAVAILABLE_MS 200 /* about the time to draw or read anew */
-#define RETRY_OUTAGE_MS \
-	900 /* the longest that callers heed: outages last \
-	       seconds, and they come back only so often */
+/* A request waits this long for a store that is out, then its caller is told to
+ * come back: programs that begin late in an outage go on at once when it ends,
+ * and none is held until its time is over. */
+#define BEGIN_US (1 * MU_US_PER_S)
+#define RETRY_OUTAGE_MS 400
 #define RETRY_OVERLOAD_MS 250
 /* some turns end meanwhile, and a caller can still come back several times */
 #define RETRY_NEW_MS 350
@@ -41,6 +43,8 @@
 #define LATE_FACTOR 8
 #define LATE_MIN_US (400 * MU_US_PER_MS)
 #define FIRST_SMOOTHING 16
+/* Requests lost this long before an endpoint was found dead are suspected. */
+#define SUSPECT_US (1500 * MU_US_PER_MS)
 #define TRIES_MAX 6 /* endpoints asked for one request */
 #define PREFILL_US 6 /* to read a prompt token, of a usual model endpoint */
 #define ANSWER_HEADERS MU_UP_HEADERS
@@ -68,6 +72,7 @@
 	bool beginning; /* mu_home_begin() has not ended */
 	bool dead; /* closed while something still refers to it */
 	unsigned references;
+	uint64_t fingerprint; /* of the request, whoever sends it */
 	mu_us arrived;
 	mu_us deadline; /* final answer by then */
 	struct mu_timer timer;
@@ -604,6 +609,27 @@
 		answer_whole(c);
 }
 
+/* The endpoint died: what was lost there just before may have killed it. */
+static void
+accuse(struct mu_serve *s, const struct mu_target *x)
+{
+	mu_us now = mu_loop_now(s->loop);
+	uint64_t endpoint = mu_quar_name(x->info.name);
+	unsigned i;
+
+	for (i = 0; i < MU_LOST_MAX; i++) {
+		if (x->lost[i].at == 0 || now - x->lost[i].at > SUSPECT_US ||
+		    mu_quar_start(
+			&s->quarantine, x->lost[i].fingerprint, now) != 0)
+			continue;
+		mu_log(MU_LOG_INFO, "call", "suspected", "{s:s,s:I}",
+		    "endpoint", x->info.name, "fingerprint",
+		    (json_int_t)x->lost[i].fingerprint);
+		mu_quar_finish(&s->quarantine, x->lost[i].fingerprint, endpoint,
+		    MU_QUAR_DIED, now);
+	}
+}
+
 static void
 on_end(void *arg, enum mu_up_end end, bool sent)
 {
@@ -627,8 +653,10 @@
 		    "endpoint", x->info.name, "end", mu_up_end_name(end),
 		    "sent", sent, "events", (json_int_t)c->events, "ms",
 		    (json_int_t)(took / MU_US_PER_MS));
-	if (end == MU_UP_CONNECT)
-		mu_target_died(x, now);
+	if (end == MU_UP_CONNECT && mu_target_died(x, now))
+		accuse(c->s, x);
+	if (end == MU_UP_LOST && sent)
+		mu_target_lost(x, c->fingerprint, now);
 	if (sent && !(end == MU_UP_WHOLE && c->not_run))
 		c->ran++;
 	leave_target(
@@ -890,10 +918,7 @@
 		refuse(c, 503, RETRY_NEW_MS, "no_place_for_new_programs");
 		break;
 	case MU_BEGIN_UNAVAILABLE:
-		refuse(c, 503,
-		    mu_store_out(c->s->store) ? RETRY_OUTAGE_MS
-					      : RETRY_UNAVAILABLE_MS,
-		    "state_unavailable");
+		refuse(c, 503, RETRY_OUTAGE_MS, "state_unavailable");
 		break;
 	}
 	call_unref(c);
@@ -916,7 +941,8 @@
 	b.only_begun =
 	    c->req.previous == NULL &&
 	    !mu_choose_admit(mu_group_pressure(&c->s->targets, c->group));
-	b.deadline = c->deadline;
+	b.deadline = c->arrived + BEGIN_US < c->deadline ? c->arrived + BEGIN_US
+							 : c->deadline;
 	c->state = ST_BEGIN;
 	c->beginning = true;
 	c->references++;
@@ -974,6 +1000,26 @@
 			    : limit;
 }
 
+/* Refuses a request that has killed endpoints. */
+static bool
+quarantined(struct mu_call *c)
+{
+	struct mu_quar_decision d;
+	char place[MU_NAME_LEN * 2];
+
+	(void)snprintf(
+	    place, sizeof(place), "%s %s", c->req.method, c->req.path);
+	c->fingerprint = mu_quar_fingerprint(
+	    place, c->req.len > 0 ? c->req.body : "", c->req.len);
+	d = mu_quar_check(
+	    &c->s->quarantine, c->fingerprint, mu_loop_now(c->s->loop));
+	if (d.kind != MU_QUAR_REFUSE)
+		return false;
+	mu_count(MU_M_QUARANTINED, 1);
+	refuse(c, 503, RETRY_OUTAGE_MS, "kills_endpoints");
+	return true;
+}
+
 void
 mu_call_start(
     struct mu_serve *s, struct mu_in_req *r, const struct mu_call_req *req)
@@ -999,6 +1045,8 @@
 	if (!find_route(c))
 		return;
 	set_deadline(c);
+	if (quarantined(c))
+		return;
 	if (c->route->kind != MU_ROUTE_STREAM)
 		c->req.has_budget = false;
 	if (!c->route->keeps_history)
--- a/src/home.c
+++ b/src/home.c
@@ -25,7 +25,6 @@
 
 struct mu_home {
 	struct mu_loop *loop;
-	struct mu_store *store;
 	struct mu_mesh *mesh;
 	struct mu_history *history;
 	struct mu_accounts *accounts;
@@ -79,7 +78,6 @@
 	if (h == NULL)
 		return NULL;
 	h->loop = l;
-	h->store = s;
 	h->mesh = m;
 	h->history = history;
 	h->conf = *conf;
@@ -198,8 +196,6 @@
 	if (*g->previous == '\0' ||
 	    mu_history_whole(g->h->history, g->previous))
 		begin_end(g, MU_BEGIN_OK);
-	else if (mu_store_out(g->h->store))
-		begin_end(g, MU_BEGIN_UNAVAILABLE);
 	else
 		mu_history_fetch(g->h->history, g->previous, g->b.keep,
 		    g->b.deadline, on_history, g);
--- a/src/serve.c
+++ b/src/serve.c
@@ -164,6 +164,22 @@
 		}
 }
 
+/* Requests that kill endpoints, as far as this daemon saw it. */
+static void
+fill_quarantine(struct mu_serve *s, Mu__Beat *b)
+{
+	mu_us now = mu_loop_now(s->loop);
+
+	b->suspected = calloc(MU_QUAR_DIGEST_MAX, sizeof(uint64_t));
+	b->quarantined = calloc(MU_QUAR_DIGEST_MAX, sizeof(uint64_t));
+	if (b->suspected != NULL)
+		b->n_suspected =
+		    mu_quar_suspected(&s->quarantine, b->suspected, now);
+	if (b->quarantined != NULL)
+		b->n_quarantined =
+		    mu_quar_quarantined(&s->quarantine, b->quarantined, now);
+}
+
 static void
 fill_beat(void *arg, Mu__Beat *b)
 {
@@ -174,6 +190,7 @@
 	b->config_version = s->routes != NULL ? s->routes->version : 0;
 	b->store_ok = mu_store_ok(s->store);
 	fill_uses(s, b);
+	fill_quarantine(s, b);
 }
 
 /* Takes what a peer has at endpoints into their load. */
@@ -191,8 +208,13 @@
 static void
 on_heard(void *arg, struct mu_peer *p, const Mu__Beat *before)
 {
-	count_uses(arg, before, false);
-	count_uses(arg, p->beat, true);
+	struct mu_serve *s = arg;
+
+	count_uses(s, before, false);
+	count_uses(s, p->beat, true);
+	mu_quar_hear(&s->quarantine, mu_quar_name(p->host), p->beat->suspected,
+	    p->beat->n_suspected, p->beat->quarantined, p->beat->n_quarantined,
+	    mu_loop_now(s->loop));
 }
 
 /* What a peer that is gone had at endpoints will end soon. */
@@ -420,8 +442,10 @@
 
 	s->loop = l;
 	s->store = mu_store_new(l, backend);
-	if (s->store == NULL || mu_targets_init(&s->targets, l, s->conf.domain,
-				    s->conf.incarnation) != 0)
+	if (s->store == NULL ||
+	    mu_quar_init(&s->quarantine, &mu_quar_conf_default) != 0 ||
+	    mu_targets_init(
+		&s->targets, l, s->conf.domain, s->conf.incarnation) != 0)
 		goto nomem;
 	rc = mu_mesh_new(&s->mesh, l, &mc, &hooks, e);
 	if (rc != 0)
@@ -461,6 +485,7 @@
 	mu_reaper_free(s->reaper);
 	mu_mesh_free(s->mesh);
 	mu_targets_clear(&s->targets);
+	mu_quar_fini(&s->quarantine);
 	mu_routes_unref(s->routes);
 	mu_store_free(s->store);
 }
--- a/src/serve.h
+++ b/src/serve.h
@@ -7,6 +7,7 @@
 #include "home.h"
 #include "follow.h"
 #include "inbound.h"
+#include "quarantine.h"
 #include "targets.h"
 
 /* What an endpoint's answer says beside its body. */
@@ -62,6 +63,7 @@
 	struct mu_history *history;
 	struct mu_home *home;
 	struct mu_targets targets;
+	struct mu_quarantine quarantine;
 	struct mu_routes *routes; /* NULL while none is known */
 	bool endpoints_known; /* the list has been read once */
 	bool leaving;
--- a/src/targets.c
+++ b/src/targets.c
@@ -238,12 +238,20 @@
 }
 
 void
+mu_target_lost(struct mu_target *x, uint64_t fingerprint, mu_us now)
+{
+	x->lost[x->next_lost].fingerprint = fingerprint;
+	x->lost[x->next_lost].at = now;
+	x->next_lost = (x->next_lost + 1) % MU_LOST_MAX;
+}
+
+bool
 mu_target_died(struct mu_target *x, mu_us now)
 {
 	unsigned shift;
 
 	if (now < x->down_until)
-		return; /* several at once are one death */
+		return false; /* several at once are one death */
 	if (x->died_at == 0 || now - x->died_at > DEATH_MEMORY_US)
 		x->deaths = 0;
 	shift = x->deaths < DOWN_SHIFT_MAX ? x->deaths : DOWN_SHIFT_MAX;
@@ -254,6 +262,7 @@
 	    "endpoint", x->info.name, "addr", x->info.addr, "deaths",
 	    (int)x->deaths, "avoided_ms",
 	    (json_int_t)((DOWN_US << shift) / MU_US_PER_MS));
+	return true;
 }
 
 double
--- a/src/targets.h
+++ b/src/targets.h
@@ -25,6 +25,13 @@
 
 struct mu_group;
 
+/* Requests lost at an endpoint shortly before it was found dead. */
+#define MU_LOST_MAX 16
+struct mu_lost_request {
+	uint64_t fingerprint;
+	mu_us at;
+};
+
 struct mu_target {
 	struct mu_hnode node; /* by name */
 	struct cds_list_head in_group;
@@ -43,6 +50,8 @@
 	mu_us down_told; /* as far as peers tell */
 	mu_us died_at; /* when it last could not be reached */
 	unsigned deaths; /* in a row, each soon after the one before */
+	struct mu_lost_request lost[MU_LOST_MAX];
+	unsigned next_lost;
 };
 
 /* The endpoints of one service and the requests that wait for them. */
@@ -89,8 +98,10 @@
  * to be down for down_ms. */
 void mu_targets_peer(struct mu_targets *t, const char *name, uint32_t before,
     uint32_t now, uint32_t down_ms);
-/* The endpoint could not be reached. */
-void mu_target_died(struct mu_target *x, mu_us now);
+/* A request was lost there: it may have killed the endpoint. */
+void mu_target_lost(struct mu_target *x, uint64_t fingerprint, mu_us now);
+/* The endpoint could not be reached; false when that was known. */
+bool mu_target_died(struct mu_target *x, mu_us now);
 /* Share of the places of a group that are taken, by requests that run or wait
  * there: 1 when all are. */
 double mu_group_pressure(const struct mu_targets *t, const struct mu_group *g);
