--- a/src/account.c
+++ b/src/account.c
@@ -187,6 +187,7 @@
 	return p;
 }
 
+/* Takes a turn off its list and tells it the outcome. */
 static void
 answer(struct hold *w, enum mu_begin_status st)
 {
@@ -198,12 +199,17 @@
 	fn(arg, st);
 }
 
+/* All that wait now: an answer may make others wait anew. */
 static void
 answer_all(struct program *p, enum mu_begin_status st)
 {
-	while (!cds_list_empty(&p->waiters))
-		answer(
-		    cds_list_first_entry(&p->waiters, struct hold, node), st);
+	struct hold *w, *next;
+	CDS_LIST_HEAD(now);
+
+	cds_list_splice(&p->waiters, &now);
+	CDS_INIT_LIST_HEAD(&p->waiters);
+	cds_list_for_each_entry_safe (w, next, &now, node)
+		answer(w, st);
 }
 
 /* The reservation is made; the turn keeps it until it is settled. */
@@ -412,6 +418,14 @@
 	       p->writer != c->incarnation && c->alive(c->arg, p->writer);
 }
 
+static struct hold *
+first_waiter(struct program *p)
+{
+	return cds_list_empty(&p->waiters)
+		   ? NULL
+		   : cds_list_first_entry(&p->waiters, struct hold, node);
+}
+
 /* Answers those who wait, in order, while the budget drawn so far lasts. */
 static void
 serve(struct program *p)
@@ -419,8 +433,7 @@
 	struct mu_ledger_answer a;
 	struct hold *w;
 
-	while (!p->drawing && !cds_list_empty(&p->waiters)) {
-		w = cds_list_first_entry(&p->waiters, struct hold, node);
+	while (!p->drawing && (w = first_waiter(p)) != NULL) {
 		a = mu_ledger_reserve(&p->ledger, w->most);
 		switch (a.kind) {
 		case MU_LEDGER_RESERVED:
@@ -500,13 +513,15 @@
 	if (used > 0)
 		p->begun = true;
 	w = find_hold(&p->holds, turn);
-	if (w != NULL) {
-		mu_ledger_settle(&p->ledger, w->most, used);
-		cds_list_del(&w->node);
-		free(w);
-	} else if ((w = find_hold(&p->waiters, turn)) != NULL) {
-		answer(w, MU_BEGIN_UNAVAILABLE);
+	if (w == NULL) {
+		w = find_hold(&p->waiters, turn);
+		if (w != NULL)
+			answer(w, MU_BEGIN_UNAVAILABLE);
+		return;
 	}
+	mu_ledger_settle(&p->ledger, w->most, used);
+	cds_list_del(&w->node);
+	free(w);
 	if (!p->drawing)
 		serve(p);
 }
@@ -545,7 +560,7 @@
 	q = find_place(p, part);
 	if (q == NULL)
 		q = &p->place[p->next_place++ % PLACES];
-	strcpy(q->part, part);
+	(void)snprintf(q->part, sizeof(q->part), "%s", part);
 	q->at = *where;
 }
 
--- a/src/log.c
+++ b/src/log.c
@@ -4,23 +4,36 @@
  * A line is built with jansson and handed to a log4c category whose layout
  * passes the text on unchanged; log4c decides by priority what is written.
  * log4c keeps one event buffer a category, so a lock keeps lines whole.
+ *
+ * Writing never waits: a line that a full pipe would not take at once is
+ * dropped.  Volume is bounded by a number of lines a second, of which
+ * information may use a part only, so that warnings and errors are the last to
+ * be left out.  The next line that is written says how many were left out.
  */
 #include <jansson.h>
 #include <log4c.h>
+#include <poll.h>
 #include <pthread.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 #include "log.h"
 
 #define CATEGORY "cardamomusher"
+#define LINES_PER_S 4000 /* of one process; some MB a second at the most */
+#define INFO_PER_S 2000 /* of these; ten times the calls of a busy daemon */
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static log4c_category_t *category;
 static enum mu_log_level threshold = MU_LOG_INFO;
+/* Under lock. */
+static time_t second; /* that the counts are of */
+static unsigned lines; /* written in it */
+static unsigned long left_out; /* since the last line written */
 
 static const struct {
 	const char *name;
@@ -45,12 +58,42 @@
 line_append(log4c_appender_t *appender __attribute__((unused)),
     const log4c_logging_event_t *event)
 {
+	struct pollfd p = {.fd = STDOUT_FILENO, .events = POLLOUT};
+
+	/* A pipe that is ready takes PIPE_BUF bytes without waiting. */
+	if (poll(&p, 1, 0) != 1 || (p.revents & POLLOUT) == 0) {
+		left_out++;
+		return 0;
+	}
 	if (fputs(event->evt_rendered_msg, stdout) < 0 ||
 	    fputc('\n', stdout) == EOF)
 		return -1;
 	return fflush(stdout);
 }
 
+/* Whether a line may still be written in this second; counts it. */
+static bool
+admit(enum mu_log_level level)
+{
+	unsigned max = level <= MU_LOG_INFO ? INFO_PER_S : LINES_PER_S;
+	struct timespec ts;
+	bool ok;
+
+	clock_gettime(CLOCK_MONOTONIC, &ts);
+	pthread_mutex_lock(&lock);
+	if (ts.tv_sec != second) {
+		second = ts.tv_sec;
+		lines = 0;
+	}
+	ok = lines < max;
+	if (ok)
+		lines++;
+	else
+		left_out++;
+	pthread_mutex_unlock(&lock);
+	return ok;
+}
+
 static const log4c_appender_type_t line_appender = {
     "json_stdout", NULL, line_append, NULL};
 
@@ -114,6 +157,12 @@
 	    levels[level].name, "module", module, "event", event);
 	if (line == NULL)
 		return;
+	pthread_mutex_lock(&lock);
+	if (left_out > 0)
+		json_object_set_new(
+		    line, "lines_left_out", json_integer((json_int_t)left_out));
+	left_out = 0;
+	pthread_mutex_unlock(&lock);
 	if (fields != NULL)
 		(void)json_object_update_missing(line, fields);
 	text = json_dumps(line, JSON_COMPACT);
@@ -135,7 +184,7 @@
 	json_t *fields = NULL;
 	va_list ap;
 
-	if (level < threshold)
+	if (level < threshold || !admit(level))
 		return;
 	if (fmt != NULL) {
 		va_start(ap, fmt);
--- a/src/log.h
+++ b/src/log.h
@@ -18,8 +18,10 @@
 void mu_log_close(void);
 
 /*
- * Writes one line: time, level, module, event and the fields given in the
- * notation of json_pack(), for instance "{s:s,s:I}".  fmt may be NULL.
+ * Writes one line, or leaves it out when too many were written in this second
+ * or the output would have to be waited for: time, level, module, event and the
+ * fields given in the notation of json_pack(), for instance "{s:s,s:I}".  fmt
+ * may be NULL.
  */
 void mu_log(enum mu_log_level level, const char *module, const char *event,
     const char *fmt, ...);
--- a/src/reaper.c
+++ b/src/reaper.c
@@ -13,6 +13,7 @@
 
 #define EVERY_US (10 * MU_US_PER_S)
 #define MARGIN_US (60 * MU_US_PER_S) /* a returning caller may be late */
+#define BATCH_US (50 * MU_US_PER_MS) /* between batches: others write, too */
 #define LIMIT_US (2 * MU_US_PER_S) /* of one removal; then the rows stay */
 #define BATCH_ROWS 100 /* rows of one write, by the platform */
 
@@ -47,22 +48,40 @@
 	free(d);
 }
 
+/* Moves up to one batch of rows that are due, all of one part, to batch. */
+static size_t
+take_batch(struct mu_reaper *r, struct cds_list_head *batch)
+{
+	mu_us now = mu_loop_now(r->loop);
+	const char *part = NULL;
+	struct due *d, *next;
+	size_t n = 0;
+
+	cds_list_for_each_entry_safe (d, next, &r->rows, node) {
+		if (d->at > now || n == BATCH_ROWS)
+			break;
+		if (part != NULL && strcmp(d->part, part) != 0)
+			continue;
+		part = d->part;
+		cds_list_del(&d->node);
+		cds_list_add_tail(&d->node, batch);
+		n++;
+	}
+	return n;
+}
+
 /* Removes up to one batch of rows of one part; false when none is due. */
 static bool
 remove_batch(struct mu_reaper *r)
 {
 	Mu__StoreOp op = MU__STORE_OP__INIT;
 	Mu__StoreRow rows[BATCH_ROWS], *gone[BATCH_ROWS];
-	struct due *due[BATCH_ROWS], *d;
-	mu_us now = mu_loop_now(r->loop);
-	size_t i;
+	struct due *d, *next;
+	CDS_LIST_HEAD(batch);
 
-	cds_list_for_each_entry (d, &r->rows, node) {
-		if (d->at > now || op.n_remove == BATCH_ROWS)
-			break;
-		if (op.n_remove > 0 && strcmp(d->part, due[0]->part) != 0)
-			continue;
-		due[op.n_remove] = d;
+	if (take_batch(r, &batch) == 0)
+		return false;
+	cds_list_for_each_entry (d, &batch, node) {
 		gone[op.n_remove] = &rows[op.n_remove];
 		mu__store_row__init(&rows[op.n_remove]);
 		rows[op.n_remove].table = (char *)(uintptr_t)d->table;
@@ -70,13 +89,12 @@
 		rows[op.n_remove].key = d->key;
 		op.n_remove++;
 	}
-	if (op.n_remove == 0)
-		return false;
 	op.kind = MU__STORE_OP__KIND__WRITE;
 	op.remove = gone;
-	mu_store_run(r->store, &op, now + LIMIT_US, on_removed, NULL);
-	for (i = 0; i < op.n_remove; i++)
-		due_free(due[i]);
+	mu_store_run(
+	    r->store, &op, mu_loop_now(r->loop) + LIMIT_US, on_removed, NULL);
+	cds_list_for_each_entry_safe (d, next, &batch, node)
+		due_free(d);
 	return true;
 }
 
@@ -85,9 +103,9 @@
 {
 	struct mu_reaper *r = arg;
 
-	while (remove_batch(r))
-		continue;
-	mu_timer_set(r->loop, &r->timer, mu_loop_now(r->loop) + EVERY_US);
+	mu_us pause = remove_batch(r) ? BATCH_US : EVERY_US;
+
+	mu_timer_set(r->loop, &r->timer, mu_loop_now(r->loop) + pause);
 }
 
 struct mu_reaper *
--- a/src/serve.c
+++ b/src/serve.c
@@ -476,6 +476,9 @@
 void
 mu_serve_close(struct mu_serve *s)
 {
+	/* Requests to peers end first, then operations of the store: neither
+	 * calls back into the other parts after this. */
+	mu_mesh_free(s->mesh);
 	mu_store_free(s->store);
 	mu_follow_free(s->follow_config);
 	mu_follow_free(s->follow_endpoints);
@@ -484,7 +487,6 @@
 	mu_home_free(s->home);
 	mu_history_free(s->history);
 	mu_reaper_free(s->reaper);
-	mu_mesh_free(s->mesh);
 	mu_targets_clear(&s->targets);
 	mu_quar_fini(&s->quarantine);
 	mu_routes_unref(s->routes);
--- a/test/memstore.h
+++ b/test/memstore.h
@@ -169,7 +169,7 @@
 static inline void
 mem_read(struct memstore *m, const Mu__StoreOp *op, Mu__StoreResult *out)
 {
-	struct mem_row *hit[MEM_ROWS], *r;
+	struct mem_row *hit[MEM_ROWS] = {NULL}, *r;
 	size_t i, n = 0;
 
 	m->reads++;
--- a/test/sockkit.h
+++ b/test/sockkit.h
@@ -295,6 +295,14 @@
 	return mu_buf_len(&c->in) > 0 ? mu_buf_data(&c->in) : "";
 }
 
+/* Runs the loop for about ms. */
+static inline void
+kit_wait(struct mu_loop *l, int ms)
+{
+	while (ms-- > 0)
+		mu_loop_once(l, 1);
+}
+
 /* Runs the loop until cond holds; false after ms. */
 #define kit_until(l, ms, cond) \
 	({ \
--- a/test/test_call.c
+++ b/test/test_call.c
@@ -95,7 +95,7 @@
 	unsigned i;
 
 	f->mem->fault = MEM_WELL;
-	(void)kit_until(f->loop, 200, false);
+	kit_wait(f->loop, 200);
 	mu_in_close(f->in);
 	mem_stop(f->mem);
 	mu_serve_close(&f->serve);
--- /dev/null
+++ b/test/test_serve.c
@@ -0,0 +1,362 @@
+/* test_serve.c -- several daemons on one loop: links, homes, histories and
+ * budgets that follow a program, and a store that turns one of them away. */
+#include <stdarg.h>
+#include <stddef.h>
+#include <setjmp.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "adapter.h"
+#include "memstore.h"
+#include "sockkit.h"
+
+#define N 3
+
+/* The store as one daemon meets it. */
+struct view {
+	struct memstore *mem;
+	bool busy;
+	bool dead; /* answers to a daemon that is gone are dropped */
+};
+
+struct passing {
+	struct view *v;
+	mu_store_fn done;
+	void *arg;
+};
+
+struct fixture {
+	struct mu_clock clock;
+	struct mu_loop *loop;
+	struct memstore *mem;
+	struct view view[N];
+	struct mu_serve d[N];
+	bool up[N];
+	char host[N][16];
+	char mesh[N][MU_ADDR_LEN];
+	unsigned answers;
+	enum mu_begin_status status;
+	struct mu_grant grant;
+};
+
+static void
+view_done(void *arg, const Mu__StoreResult *r)
+{
+	struct passing *p = arg;
+
+	if (!p->v->dead)
+		p->done(p->arg, r);
+	free(p);
+}
+
+static void
+view_run(void *arg, const Mu__StoreOp *op, uint32_t limit_ms, mu_store_fn done,
+    void *done_arg)
+{
+	struct view *v = arg;
+	enum mem_fault was = v->mem->fault;
+
+	struct passing *p = malloc(sizeof(*p));
+
+	p->v = v;
+	p->done = done;
+	p->arg = done_arg;
+	if (v->busy)
+		v->mem->fault = MEM_BUSY;
+	mem_run(v->mem, op, limit_ms, view_done, p);
+	v->mem->fault = was;
+}
+
+static void
+start(struct fixture *f, int i)
+{
+	struct mu_store_backend b = {&f->view[i], view_run};
+	struct mu_error e = {0};
+
+	memset(&f->d[i], 0, sizeof(f->d[i]));
+	f->view[i].mem = f->mem;
+	(void)snprintf(f->host[i], sizeof(f->host[i]), "d%d", i);
+	f->d[i].dialect = &pf_dialect;
+	f->d[i].conf.host = f->host[i];
+	f->d[i].conf.domain = "east";
+	f->d[i].conf.incarnation = (uint64_t)i + 1;
+	f->d[i].conf.caller_addr = "127.0.0.1:1";
+	f->d[i].conf.mesh_addr = f->mesh[i];
+	assert_int_equal(mu_serve_open(&f->d[i], f->loop, &b, &e), 0);
+	f->up[i] = true;
+}
+
+static unsigned
+peers_up(struct fixture *f, int i)
+{
+	struct mu_peer *p;
+	unsigned n = 0;
+
+	cds_list_for_each_entry (p, mu_mesh_peers(f->d[i].mesh), node)
+		n += p->up;
+	return n;
+}
+
+static int
+setup(void **state)
+{
+	struct fixture *f = calloc(1, sizeof(*f));
+	int i;
+
+	mu_clock_real(&f->clock);
+	f->loop = mu_loop_new(&f->clock);
+	f->mem = calloc(1, sizeof(*f->mem));
+	(void)mem_backend(f->mem, f->loop);
+	for (i = 0; i < N; i++)
+		kit_free_addr(f->mesh[i]);
+	for (i = 0; i < N; i++)
+		start(f, i);
+	assert_true(kit_until(f->loop, 5000,
+	    peers_up(f, 0) == N - 1 && peers_up(f, 1) == N - 1 &&
+		peers_up(f, 2) == N - 1));
+	*state = f;
+	return 0;
+}
+
+static void
+stop(struct fixture *f, int i)
+{
+	if (!f->up[i])
+		return;
+	f->up[i] = false;
+	f->view[i].dead = true;
+	mu_serve_close(&f->d[i]);
+}
+
+static int
+teardown(void **state)
+{
+	struct fixture *f = *state;
+	int i;
+
+	kit_wait(f->loop, 50);
+	for (i = 0; i < N; i++)
+		stop(f, i);
+	kit_wait(f->loop, 20);
+	mem_clear(f->mem);
+	mu_loop_free(f->loop);
+	free(f);
+	return 0;
+}
+
+static void
+on_begun(void *arg, enum mu_begin_status status)
+{
+	struct fixture *f = arg;
+
+	f->answers++;
+	f->status = status;
+}
+
+static enum mu_begin_status
+begin(struct fixture *f, int i, const char *turn, const char *previous)
+{
+	struct mu_begin b = {.program = "prog",
+	    .budget = 3000,
+	    .most = 289,
+	    .turn = turn,
+	    .previous = previous,
+	    .keep = 60 * MU_US_PER_S,
+	    .deadline = mu_now(&f->clock) + 2 * MU_US_PER_S};
+	unsigned before = f->answers;
+
+	mu_home_begin(f->d[i].home, &b, &f->grant, on_begun, f);
+	assert_true(kit_until(f->loop, 4000, f->answers > before));
+	return f->status;
+}
+
+static Mu__TurnRecord *
+record(const char *turn)
+{
+	Mu__TurnRecord *r = malloc(sizeof(*r));
+
+	mu__turn_record__init(r);
+	r->turn = strdup(turn);
+	r->input.data = (uint8_t *)strdup("in");
+	r->input.len = 2;
+	r->output.data = (uint8_t *)strdup("out\n");
+	r->output.len = 4;
+	return r;
+}
+
+static void
+end_turn(struct fixture *f, int i, const char *turn, uint64_t used,
+    const Mu__TurnRecord *rec)
+{
+	struct mu_settlement t = {.program = "prog",
+	    .turn = turn,
+	    .used = used,
+	    .rec = rec,
+	    .part = "line",
+	    .cached = {"e7", 500}};
+
+	mu_home_settle(f->d[i].home, &f->grant, &t);
+}
+
+/* The home of "prog" among the daemons that are up. */
+static int
+home(struct fixture *f)
+{
+	uint64_t best = 0, w;
+	int i, at = 0;
+
+	for (i = 0; i < N; i++) {
+		w = mu_home_weight(f->host[i], "prog");
+		if (f->up[i] && w > best) {
+			best = w;
+			at = i;
+		}
+	}
+	return at;
+}
+
+/* Turns over different daemons: the history comes from the home's memory and
+ * the budget is drawn once. */
+static void
+test_program_over_several_daemons(void **state)
+{
+	struct fixture *f = *state;
+	Mu__TurnRecord *r = record("t1");
+	int a = (home(f) + 1) % N, b = (home(f) + 2) % N;
+	unsigned reads;
+
+	assert_int_equal(begin(f, a, "t1", NULL), MU_BEGIN_OK);
+	assert_true(f->grant.remote);
+	end_turn(f, a, "t1", 73, r);
+	kit_wait(f->loop, 30);
+	reads = f->mem->reads;
+	assert_int_equal(begin(f, b, "t2", "t1"), MU_BEGIN_OK);
+	assert_true(mu_history_whole(f->d[b].history, "t1"));
+	assert_int_equal(f->mem->reads, reads);
+	end_turn(f, b, "t2", 73, NULL);
+	mu__turn_record__free_unpacked(r, NULL);
+}
+
+/* The home dies: the next turn begins well within half a second, with its
+ * history from the store. */
+static void
+test_home_dies(void **state)
+{
+	struct fixture *f = *state;
+	Mu__TurnRecord *r = record("t1");
+	int h = home(f), a = (h + 1) % N;
+	mu_us began;
+
+	assert_int_equal(begin(f, h, "t1", NULL), MU_BEGIN_OK);
+	mu_history_commit(f->d[h].history, r, 60 * MU_US_PER_S,
+	    mu_now(&f->clock) + MU_US_PER_S,
+	    (mu_history_fn)(void (*)(void))on_begun, f);
+	kit_wait(f->loop, 100);
+	end_turn(f, h, "t1", 73, r);
+	stop(f, h);
+	began = mu_now(&f->clock);
+	assert_int_equal(begin(f, a, "t2", "t1"), MU_BEGIN_OK);
+	assert_true(mu_now(&f->clock) - began < 500 * MU_US_PER_MS);
+	assert_true(mu_history_whole(f->d[a].history, "t1"));
+	end_turn(f, a, "t2", 10, NULL);
+	mu__turn_record__free_unpacked(r, NULL);
+}
+
+/* The store turns one daemon away: it draws and reads through a peer. */
+static void
+test_store_deaf_to_one_daemon(void **state)
+{
+	struct fixture *f = *state;
+	int h = home(f);
+
+	f->view[h].busy = true;
+	(void)kit_until(f->loop, 1500, !mu_store_ok(f->d[h].store));
+	assert_false(mu_store_ok(f->d[h].store));
+	assert_int_equal(begin(f, h, "t1", NULL), MU_BEGIN_OK);
+	assert_int_equal(begin(f, h, "t2", "nix"), MU_BEGIN_NO_TURN);
+}
+
+/* A daemon that leaves is no home for new turns and gives its draw back. */
+static void
+test_leaving_daemon_is_no_home(void **state)
+{
+	struct fixture *f = *state;
+	int h = home(f), a = (h + 1) % N;
+
+	mu_serve_leave(&f->d[h]);
+	kit_wait(f->loop, 300);
+	assert_int_equal(begin(f, a, "t1", NULL), MU_BEGIN_OK);
+	assert_true(!f->grant.remote || strcmp(f->grant.host, f->host[h]) != 0);
+	end_turn(f, a, "t1", 1, NULL);
+}
+
+static void
+test_peers_tell_what_they_have_at_endpoints(void **state)
+{
+	struct fixture *f = *state;
+	struct mu_target_info info = {.name = "e1",
+	    .service = "s",
+	    .addr = "127.0.0.1:9",
+	    .domain = "east",
+	    .slots = 4};
+	struct mu_candidate c[MU_CHOOSE_MAX];
+	struct mu_target *who[MU_CHOOSE_MAX];
+	int i;
+
+	for (i = 0; i < N; i++)
+		mu_targets_learn(&f->d[i].targets, &info);
+	(void)mu_group_view(
+	    &f->d[1].targets, mu_targets_group(&f->d[1].targets, "s"), c, who);
+	who[0]->sent = 3;
+	kit_wait(f->loop, 500);
+	assert_int_equal(mu_group_view(&f->d[0].targets,
+			     mu_targets_group(&f->d[0].targets, "s"), c, who),
+	    1);
+	assert_true(c[0].others > 2.5 && c[0].others < 3.5);
+	assert_true(c[0].usable);
+	(void)mu_group_view(
+	    &f->d[1].targets, mu_targets_group(&f->d[1].targets, "s"), c, who);
+	who[0]->sent = 0;
+	assert_true(mu_target_died(who[0], mu_now(&f->clock)));
+	assert_false(mu_target_died(who[0], mu_now(&f->clock)));
+	kit_wait(f->loop, 220);
+	(void)mu_group_view(
+	    &f->d[0].targets, mu_targets_group(&f->d[0].targets, "s"), c, who);
+	assert_true(who[0]->down_told > 0);
+}
+
+static void
+test_killing_request_is_known_to_peers(void **state)
+{
+	struct fixture *f = *state;
+	mu_us now = mu_now(&f->clock);
+	int k;
+
+	for (k = 0; k < 2; k++) {
+		assert_int_equal(
+		    mu_quar_start(&f->d[1].quarantine, 42, now), 0);
+		mu_quar_finish(&f->d[1].quarantine, 42,
+		    mu_quar_name(k == 0 ? "e1" : "e2"), MU_QUAR_DIED, now);
+	}
+	kit_wait(f->loop, 500);
+	assert_int_equal(
+	    mu_quar_check(&f->d[0].quarantine, 42, mu_now(&f->clock)).kind,
+	    MU_QUAR_REFUSE);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+#define T(t) cmocka_unit_test_setup_teardown(t, setup, teardown)
+	    T(test_program_over_several_daemons),
+	    T(test_home_dies),
+	    T(test_store_deaf_to_one_daemon),
+	    T(test_leaving_daemon_is_no_home),
+	    T(test_peers_tell_what_they_have_at_endpoints),
+	    T(test_killing_request_is_known_to_peers),
+#undef T
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/test/test_tablestore.c
+++ b/test/test_tablestore.c
@@ -116,35 +116,41 @@
 on_request(void *arg, struct mu_in_req *r)
 {
 	struct fixture *f = arg;
-	Mu__StoreResult res = MU__STORE_RESULT__INIT;
-	Mu__StoreOp op = MU__STORE_OP__INIT;
+	Mu__StoreResult *res;
+	Mu__StoreOp *op;
 	json_t *body = NULL;
 
 	if (f->mute) {
 		f->muted = r;
 		return;
 	}
+	res = malloc(sizeof(*res));
+	mu__store_result__init(res);
+	op = malloc(sizeof(*op));
+	mu__store_op__init(op);
 	if (strncmp(r->target, "/rows-tx", 8) == 0) {
 		body = json_loadb(
 		    mu_buf_data(&r->body), mu_buf_len(&r->body), 0, NULL);
 		assert_non_null(body);
-		op.n_expected = rows_in(body, "expected", &op.expected);
-		op.n_put = rows_in(body, "put", &op.put);
-		op.n_remove = rows_in(body, "remove", &op.remove);
+		op->n_expected = rows_in(body, "expected", &op->expected);
+		op->n_put = rows_in(body, "put", &op->put);
+		op->n_remove = rows_in(body, "remove", &op->remove);
 		if (f->force == 0)
-			mem_write(f->mem, &op, &res);
+			mem_write(f->mem, op, res);
 	} else {
-		op.table = strdup(query(r, "table"));
-		op.part = strdup(query(r, "part"));
-		op.from = strdup(query(r, "from"));
-		op.to = strdup(query(r, "to"));
-		op.after = strtoull(query(r, "after"), NULL, 10);
+		op->table = strdup(query(r, "table"));
+		op->part = strdup(query(r, "part"));
+		op->from = strdup(query(r, "from"));
+		op->to = strdup(query(r, "to"));
+		op->after = strtoull(query(r, "after"), NULL, 10);
 		if (strncmp(r->target, "/rows-get?", 10) == 0)
-			mem_read(f->mem, &op, &res);
+			mem_read(f->mem, op, res);
 		else
-			mem_feed(f->mem, &op, &res);
+			mem_feed(f->mem, op, res);
 	}
-	answer(f, r, &res);
+	answer(f, r, res);
+	mu__store_op__free_unpacked(op, NULL);
+	mu__store_result__free_unpacked(res, NULL);
 	json_decref(body);
 }
 
@@ -189,7 +195,7 @@
 	struct fixture *f = *state;
 
 	pf_store_free(f->client);
-	(void)kit_until(f->loop, 50, false);
+	kit_wait(f->loop, 50);
 	mu_in_close(f->in);
 	mem_clear(f->mem);
 	mu_loop_free(f->loop);
