--- a/src/account.c
+++ b/src/account.c
@@ -18,6 +18,7 @@
 #include "hmap.h"
 #include "ledger.h"
 #include "log.h"
+#include "metric.h"
 
 #define TABLE "budgets"
 #define PARTS 16 /* the platform runs 200 writes a second in a part */
@@ -370,6 +371,7 @@
 	op.n_expected = op.n_put = 1;
 	op.expected = ons;
 	op.put = puts;
+	mu_count(MU_M_BUDGET_DRAWS, 1);
 	mu_store_run(p->a->store, &op, deadline, on_drawn, p);
 }
 
--- a/src/call.c
+++ b/src/call.c
@@ -265,6 +265,7 @@
 {
 	struct mu_call *c = arg;
 
+	mu_count(MU_M_OVERDUE, 1);
 	mu_log(MU_LOG_WARN, "call", "overdue", "{s:s,s:s,s:I,s:I}", "request",
 	    c->req.id, "endpoint", c->target->info.name, "ms",
 	    (json_int_t)((mu_loop_now(c->s->loop) - c->sent_at) / MU_US_PER_MS),
--- a/src/history.c
+++ b/src/history.c
@@ -488,6 +488,7 @@
 	op.from = q->turn;
 	op.to = to;
 	f->reads++;
+	mu_count(MU_M_HISTORY_READS, 1);
 	mu_store_run(f->h->store, &op, f->deadline, on_row, q);
 }
 
--- a/src/metric.h
+++ b/src/metric.h
@@ -41,7 +41,12 @@
 	X(PLATFORM_WRITES, "platform_writes_total", "writes to the platform") \
 	X(PROMPT_TOKENS, "prompt_tokens_total", "prompt tokens sent") \
 	X(CACHED_TOKENS, "cached_tokens_total", "prompt tokens found cached") \
-	X(OUTPUT_TOKENS, "output_tokens_total", "tokens generated")
+	X(OUTPUT_TOKENS, "output_tokens_total", "tokens generated") \
+	X(BUDGET_DRAWS, "budget_writes_total", "budget rows written") \
+	X(HISTORY_READS, "history_reads_total", "turns read from the store") \
+	X(CONNECTIONS, "endpoint_connections_total", \
+	    "connections opened to endpoints") \
+	X(OVERDUE, "answers_overdue_total", "answers overdue by far")
 
 enum mu_counter {
 #define X(sym, name, help) MU_M_##sym,
--- a/src/serve.c
+++ b/src/serve.c
@@ -27,6 +27,7 @@
 #define SILENCE_MS 700 /* three heartbeats and the way */
 #define HISTORY_BYTES ((size_t)32 << 20) /* a fifth of the smallest host */
 #define ANNOUNCE_LIMIT_US (2 * MU_US_PER_S)
+#define STATS_US (10 * MU_US_PER_S)
 #define ANNOUNCE_AGAIN_US (200 * MU_US_PER_MS)
 
 /* Configuration. */
@@ -407,6 +408,29 @@
 	    on_announced, s);
 }
 
+/* A line of totals now and then, for when no metrics were kept. */
+static void
+on_stats(void *arg)
+{
+	struct mu_serve *s = arg;
+
+	mu_log(MU_LOG_INFO, "serve", "totals",
+	    "{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:i,s:i,s:i}", "calls",
+	    (json_int_t)mu_counted(MU_M_HTTP), "answered",
+	    (json_int_t)mu_counted(MU_M_CALLS_OK), "failed",
+	    (json_int_t)mu_counted(MU_M_CALLS_FAILED), "refused",
+	    (json_int_t)mu_counted(MU_M_REFUSED), "store_writes",
+	    (json_int_t)mu_counted(MU_M_PLATFORM_WRITES), "store_reads",
+	    (json_int_t)mu_counted(MU_M_PLATFORM_READS), "commits",
+	    (json_int_t)mu_counted(MU_M_COMMITS), "budget_writes",
+	    (json_int_t)mu_counted(MU_M_BUDGET_DRAWS), "history_reads",
+	    (json_int_t)mu_counted(MU_M_HISTORY_READS), "connections",
+	    (json_int_t)mu_counted(MU_M_CONNECTIONS), "in_progress",
+	    (int)s->calls, "store_pending", (int)mu_store_pending(s->store),
+	    "records_pending", (int)mu_history_pending(s->history));
+	mu_timer_set(s->loop, &s->stats, mu_loop_now(s->loop) + STATS_US);
+}
+
 /* Opening and closing. */
 
 static bool
@@ -460,6 +484,9 @@
 	s->announce.fn = announce;
 	s->announce.arg = s;
 	mu_timer_set(l, &s->announce, mu_loop_now(l));
+	s->stats.fn = on_stats;
+	s->stats.arg = s;
+	mu_timer_set(l, &s->stats, mu_loop_now(l) + STATS_US);
 	return 0;
 nomem:
 	return mu_fail(e, MU_E_NOMEM, MU_OUTCOME_NOT_RUN, 0, "no memory");
@@ -484,6 +511,7 @@
 	mu_follow_free(s->follow_endpoints);
 	mu_follow_free(s->follow_daemons);
 	mu_timer_clear(s->loop, &s->announce);
+	mu_timer_clear(s->loop, &s->stats);
 	mu_home_free(s->home);
 	mu_history_free(s->history);
 	mu_reaper_free(s->reaper);
--- a/src/serve.h
+++ b/src/serve.h
@@ -72,6 +72,7 @@
 	struct mu_follow *follow_endpoints;
 	struct mu_follow *follow_daemons;
 	struct mu_timer announce;
+	struct mu_timer stats;
 	bool announced; /* this daemon's row is in the store */
 };
 
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -27,6 +27,7 @@
 #include <unistd.h>
 
 #include "buf.h"
+#include "metric.h"
 #include "upstream.h"
 
 /* a first SYN and its answer; a lost SYN is resent only after 1 s */
@@ -475,6 +476,7 @@
 	mu_timer_set(p->loop, &x->timer, mu_loop_now(p->loop) + CONNECT_US);
 	p->open++;
 	p->opened++;
+	mu_count(MU_M_CONNECTIONS, 1);
 	return x;
 fail:
 	free(x);
