--- /dev/null
+++ b/src/attempt.c
@@ -0,0 +1,352 @@
+/*
+ * attempt.c -- one attempt of a call at one endpoint.
+ *
+ * Sends the request, passes events of a stream on as they become whole, keeps
+ * other answers until they are complete, and tells what the attempt said of
+ * the endpoint: its load, its health, and whether it died.  An answer that is
+ * overdue by far counts against the endpoint at once, so that others are not
+ * sent there while callers' time runs out.
+ */
+#include <jansson.h>
+#include <stdio.h>
+#include <string.h>
+#include <strings.h>
+
+#include "call_private.h"
+#include "log.h"
+#include "metric.h"
+
+#define BODY_MAX ((size_t)8 << 20) /* of an answer that is kept whole */
+#define FULL_BACK_US (50 * MU_US_PER_MS) /* after an endpoint's refusal */
+/* A first byte that takes so many times the usual time is overdue. */
+#define LATE_FACTOR 8
+#define LATE_MIN_US (400 * MU_US_PER_MS)
+#define SMOOTHING 16 /* a new sample weighs a part of so many */
+/* Requests lost this long before an endpoint was found dead are suspected. */
+#define SUSPECT_US (1500 * MU_US_PER_MS)
+
+/* Takes the call off its endpoint; took: time a piece, for its health. */
+static void
+leave_target(struct mu_call *c, enum mu_health_result result, mu_us took)
+{
+	struct mu_target *x = c->target;
+
+	if (x == NULL)
+		return;
+	(void)snprintf(c->same, sizeof(c->same), "%s", x->info.name);
+	c->target = NULL;
+	c->exchange = NULL;
+	x->sent--;
+	mu_timer_clear(c->s->loop, &c->late);
+	if (x->listed && !(c->overdue && result == MU_HEALTH_FAILURE))
+		mu_target_ended(&c->s->targets, x, result, took);
+	mu_target_release(&c->s->targets, x);
+	mu_call_retry_waiting(c->s, c->group);
+}
+
+/* Breaks off the attempt in progress, which has run if a byte of it left. */
+void
+mu_attempt_cancel(struct mu_call *c, enum mu_health_result result)
+{
+	if (c->exchange == NULL)
+		return;
+	if (mu_up_cancel(c->exchange))
+		c->ran++;
+	leave_target(c, result, 0);
+}
+
+/*
+ * The answer is long overdue: an endpoint that hangs is told from a busy one
+ * before callers' time is over, and what may be repeated goes elsewhere.
+ */
+static void
+on_late(void *arg)
+{
+	struct mu_call *c = arg;
+
+	mu_count(MU_M_OVERDUE, 1);
+	mu_log(MU_LOG_WARN, "call", "overdue", "{s:s,s:s,s:I,s:I}", "request",
+	    c->req.id, "endpoint", c->target->info.name, "ms",
+	    (json_int_t)((mu_loop_now(c->s->loop) - c->sent_at) / MU_US_PER_MS),
+	    "usual_ms", (json_int_t)(c->group->first / MU_US_PER_MS));
+	if (c->target->listed)
+		mu_target_ended(
+		    &c->s->targets, c->target, MU_HEALTH_FAILURE, 0);
+	c->overdue = true;
+	if (!mu_call_repeatable(c) || c->ran + 1 >= c->route->max_endpoints)
+		return;
+	mu_call_mark_tried(c, c->target->info.name);
+	mu_attempt_cancel(c, MU_HEALTH_FAILURE);
+	mu_call_lost(c, "overdue");
+}
+
+bool
+mu_call_repeatable(const struct mu_call *c)
+{
+	switch (c->route->kind) {
+	case MU_ROUTE_IDEMPOTENT:
+		return true;
+	case MU_ROUTE_ONCE:
+		return false;
+	case MU_ROUTE_STREAM:
+		return c->route->resumable;
+	}
+	return false;
+}
+
+void
+mu_call_mark_tried(struct mu_call *c, const char *name)
+{
+	if (c->ntried < MU_CALL_TRIES)
+		(void)snprintf(c->tried[c->ntried++], MU_NAME_LEN, "%s", name);
+}
+
+static bool
+own_answer(void *arg, const struct mu_up_head *head)
+{
+	struct mu_call *c = arg;
+	struct mu_answer_head a = {0};
+
+	c->s->dialect->read_answer(head, &a);
+	if (a.request == NULL || strcmp(a.request, c->req.id) == 0)
+		return true;
+	mu_log(MU_LOG_WARN, "call", "foreign_answer", "{s:s,s:s,s:s}",
+	    "request", c->req.id, "answers", a.request, "endpoint",
+	    c->target->info.name);
+	return false;
+}
+
+static bool
+hop_header(const char *name)
+{
+	static const char *const names[] = {"Connection", "Keep-Alive",
+	    "Transfer-Encoding", "Content-Length", "Trailer", "Upgrade",
+	    "Proxy-Authenticate", "Proxy-Connection", "TE", "Date"};
+	size_t i;
+
+	for (i = 0; i < sizeof(names) / sizeof(*names); i++)
+		if (strcasecmp(name, names[i]) == 0)
+			return true;
+	return false;
+}
+
+static void
+keep_headers(struct mu_call *c, const struct mu_up_head *head)
+{
+	size_t i;
+
+	c->nheaders = 0;
+	for (i = 0; i < head->nheaders; i++) {
+		if (hop_header(head->headers[i].name))
+			continue;
+		c->headers[c->nheaders].name =
+		    mu_arena_strdup(c->arena, head->headers[i].name);
+		c->headers[c->nheaders].value =
+		    mu_arena_strdup(c->arena, head->headers[i].value);
+		if (c->headers[c->nheaders].name == NULL ||
+		    c->headers[c->nheaders].value == NULL)
+			abort();
+		c->nheaders++;
+	}
+}
+
+static void
+on_head(void *arg, const struct mu_up_head *head)
+{
+	struct mu_call *c = arg;
+	struct mu_answer_head a = {0};
+	bool first = c->first_at == 0;
+	mu_us took;
+
+	c->s->dialect->read_answer(head, &a);
+	c->status = head->status;
+	c->not_run = a.not_run || a.wrong_endpoint;
+	c->is_signed = a.signed_;
+	if (a.loaded)
+		mu_target_told(c->target, mu_loop_now(c->s->loop), a.running,
+		    a.waiting, a.slots);
+	if (a.wrong_endpoint)
+		c->target->full_until = MU_US_NEVER;
+	if (c->not_run)
+		return;
+	mu_timer_clear(c->s->loop, &c->late);
+	took = mu_loop_now(c->s->loop) - c->sent_at;
+	c->group->first += (took - c->group->first) / SMOOTHING;
+	if (first) {
+		c->first_at = mu_loop_now(c->s->loop);
+		mu_observe(MU_H_FIRST, c->first_at - c->arrived);
+	}
+	if (c->streaming) /* a resumed stream keeps its first head */
+		return;
+	keep_headers(c, head);
+	if (c->route->kind != MU_ROUTE_STREAM || c->status != 200 ||
+	    !c->is_signed)
+		return;
+	c->streaming = true;
+	mu_in_begin(c->in, c->status, c->headers, c->nheaders);
+}
+
+/* Passes a whole event on. */
+static int
+on_event(void *arg, const char *data, size_t len)
+{
+	struct mu_call *c = arg;
+	size_t n = c->sse.fed - c->event_at;
+
+	mu_in_write(c->in, mu_buf_data(&c->answer), n);
+	mu_buf_take(&c->answer, n);
+	c->event_at = c->sse.fed;
+	c->events++;
+	if (c->sse.id.len > 0)
+		(void)snprintf(
+		    c->last_event, sizeof(c->last_event), "%s", c->sse.id.p);
+	if (c->route->keeps_history &&
+	    (mu_buf_add(&c->output, data, len) != 0 ||
+		mu_buf_add(&c->output, "\n", 1) != 0))
+		return MU_E_NOMEM;
+	return 0;
+}
+
+static void
+on_body(void *arg, const char *data, size_t len)
+{
+	struct mu_call *c = arg;
+
+	if (c->not_run)
+		return;
+	if (mu_buf_len(&c->answer) + len > BODY_MAX ||
+	    mu_buf_add(&c->answer, data, len) != 0)
+		goto fail;
+	if (c->streaming && c->status == 200 &&
+	    mu_sse_feed(&c->sse, data, len, on_event, c) != 0)
+		goto fail;
+	return;
+fail:
+	mu_log(MU_LOG_ERROR, "call", "answer_too_large", "{s:s}", "request",
+	    c->req.id);
+	mu_attempt_cancel(c, MU_HEALTH_FAILURE);
+	mu_call_give_up(c, 0, "answer_too_large");
+}
+
+/* The endpoint died: what was lost there just before may have killed it. */
+static void
+accuse(struct mu_serve *s, const struct mu_target *x)
+{
+	mu_us now = mu_loop_now(s->loop);
+	uint64_t endpoint = mu_quar_name(x->info.name);
+	unsigned i;
+
+	for (i = 0; i < MU_LOST_MAX; i++) {
+		if (x->lost[i].at == 0 || now - x->lost[i].at > SUSPECT_US ||
+		    mu_quar_start(
+			&s->quarantine, x->lost[i].fingerprint, now) != 0)
+			continue;
+		mu_log(MU_LOG_INFO, "call", "suspected", "{s:s,s:I}",
+		    "endpoint", x->info.name, "fingerprint",
+		    (json_int_t)x->lost[i].fingerprint);
+		mu_quar_finish(&s->quarantine, x->lost[i].fingerprint, endpoint,
+		    MU_QUAR_DIED, now);
+	}
+}
+
+static void
+on_end(void *arg, enum mu_up_end end, bool sent)
+{
+	struct mu_call *c = arg;
+	struct mu_target *x = c->target;
+	mu_us now = mu_loop_now(c->s->loop), took = now - c->sent_at;
+	enum mu_health_result result = MU_HEALTH_SUCCESS;
+
+	if (end != MU_UP_WHOLE || c->status >= 500)
+		result = MU_HEALTH_FAILURE;
+	if (end == MU_UP_WHOLE && c->not_run) {
+		result = MU_HEALTH_BUSY;
+		if (x->full_until != MU_US_NEVER)
+			x->full_until = now + FULL_BACK_US;
+	}
+	if (result == MU_HEALTH_SUCCESS)
+		c->group->call += (took - c->group->call) / SMOOTHING;
+	if (end != MU_UP_WHOLE)
+		mu_log(MU_LOG_WARN, "call", "attempt_failed",
+		    "{s:s,s:s,s:s,s:b,s:I,s:I}", "request", c->req.id,
+		    "endpoint", x->info.name, "end", mu_up_end_name(end),
+		    "sent", sent, "events", (json_int_t)c->events, "ms",
+		    (json_int_t)(took / MU_US_PER_MS));
+	if (end == MU_UP_CONNECT && mu_target_died(x, now))
+		accuse(c->s, x);
+	if (end == MU_UP_LOST && sent)
+		mu_target_lost(x, c->fingerprint, now);
+	if (sent && !(end == MU_UP_WHOLE && c->not_run))
+		c->ran++;
+	leave_target(
+	    c, result, c->events > 0 ? took / (mu_us)(c->events + 1) : took);
+	if (end == MU_UP_WHOLE) {
+		mu_call_whole(c);
+	} else if (!sent) {
+		mu_call_mark_tried(c, c->same);
+		c->resend_same = false;
+		if (c->tries >= MU_CALL_TRIES)
+			mu_call_give_up(c, MU_CALL_RETRY_MS, "connect_failed");
+		else
+			mu_call_again(c);
+	} else {
+		mu_call_lost(c, mu_up_end_name(end));
+	}
+}
+
+static const char *
+send_headers(struct mu_call *c, struct mu_buf *to)
+{
+	struct mu_send_head h = {0};
+	mu_us left = c->deadline - mu_loop_now(c->s->loop);
+
+	h.endpoint = c->target->info.name;
+	h.left_ms = (uint32_t)(left / MU_US_PER_MS);
+	h.last_event = c->events > 0 ? c->last_event : c->req.last_event;
+	if (mu_buf_add(to, c->req.headers, strlen(c->req.headers)) != 0 ||
+	    c->s->dialect->write_send(to, &h) != 0)
+		return NULL;
+	return mu_buf_data(to);
+}
+
+/* Sends the call to x; false when no exchange could be started. */
+bool
+mu_attempt_send(struct mu_call *c, struct mu_target *x)
+{
+	struct mu_up_hooks hooks = {c, own_answer, on_head, on_body, on_end};
+	struct mu_up_req r = {0};
+	struct mu_buf headers = {0};
+	mu_us limit;
+
+	c->target = x;
+	r.method = c->req.method;
+	r.target = c->req.target;
+	r.headers = send_headers(c, &headers);
+	r.body = mu_buf_len(&c->body) > 0 ? mu_buf_data(&c->body) : c->req.body;
+	r.len = mu_buf_len(&c->body) > 0 ? mu_buf_len(&c->body) : c->req.len;
+	r.has_body = c->req.has_body;
+	if (r.headers != NULL)
+		c->exchange = mu_up_start(&x->pool, &r, &hooks);
+	mu_buf_clear(&headers);
+	if (c->exchange == NULL) {
+		c->target = NULL;
+		return false;
+	}
+	c->late.fn = on_late;
+	c->late.arg = c;
+	c->tries++;
+	c->overdue = false;
+	c->sent_at = mu_loop_now(c->s->loop);
+	limit = LATE_FACTOR * c->group->first;
+	mu_timer_set(c->s->loop, &c->late,
+	    c->sent_at + (limit > LATE_MIN_US ? limit : LATE_MIN_US));
+	if (c->tries == 1)
+		mu_observe(MU_H_QUEUE, c->sent_at - c->arrived);
+	if (mu_health_state(&mu_targets_eject, &x->health, c->sent_at) ==
+	    MU_HEALTH_PROBE)
+		mu_health_probe(&x->health, c->sent_at);
+	x->sent++;
+	c->state = ST_SENT;
+	mu_count(MU_M_CALLS, 1);
+	return true;
+}
--- a/src/conf.c
+++ b/src/conf.c
@@ -141,20 +141,6 @@
 	return fields;
 }
 
-/* Copies a number or its default to *to after the range check. */
-static int
-number(const char *path, const uint64_t *raw, uint32_t def, uint32_t lo,
-    uint32_t hi, uint32_t *to, struct mu_error *e)
-{
-	uint64_t n = raw != NULL ? *raw : def;
-
-	if (n < lo || n > hi)
-		return mu_yaml_fail(e, path,
-		    "%" PRIu64 "; expected an integer %u to %u", n, lo, hi);
-	*to = (uint32_t)n;
-	return 0;
-}
-
 static int
 numbers(const struct raw *r, struct mu_conf *c, struct mu_error *e)
 {
@@ -162,7 +148,7 @@
 
 #define X(f, def, lo, hi) \
 	if (rc == 0) \
-		rc = number(#f, r->f, def, lo, hi, &c->f, e);
+		rc = mu_yaml_number(#f, r->f, def, lo, hi, &c->f, e);
 	CONF_NUMBERS(X)
 #undef X
 	return rc;
@@ -187,26 +173,15 @@
 	r->noperators = 0;
 }
 
-static int
-check_addr(const char *path, const char *addr, struct mu_error *e)
-{
-	char ip[MU_ADDR_LEN];
-	uint16_t port;
-
-	if (mu_addr_parse(addr, ip, &port) != 0)
-		return mu_yaml_fail(e, path, "'%.60s'; expected IP:PORT", addr);
-	return 0;
-}
-
 static int
 check_addrs(const struct mu_conf *c, struct mu_error *e)
 {
 	int rc;
 
-	if ((rc = check_addr("caller_addr", c->caller_addr, e)) != 0 ||
-	    (rc = check_addr("operator_addr", c->operator_addr, e)) != 0 ||
-	    (rc = check_addr("peer_addr", c->peer_addr, e)) != 0 ||
-	    (rc = check_addr("platform_addr", c->platform_addr, e)) != 0)
+	if ((rc = mu_yaml_addr("caller_addr", c->caller_addr, e)) != 0 ||
+	    (rc = mu_yaml_addr("operator_addr", c->operator_addr, e)) != 0 ||
+	    (rc = mu_yaml_addr("peer_addr", c->peer_addr, e)) != 0 ||
+	    (rc = mu_yaml_addr("platform_addr", c->platform_addr, e)) != 0)
 		return rc;
 	if (strcmp(c->caller_addr, c->operator_addr) == 0 ||
 	    strcmp(c->caller_addr, c->peer_addr) == 0)
@@ -218,16 +193,6 @@
 	return 0;
 }
 
-static int
-check_name(const char *path, const char *s, struct mu_error *e)
-{
-	if (!mu_name_valid(s))
-		return mu_yaml_fail(e, path,
-		    "'%.40s'; expected 1 to %d letters, digits and ._-", s,
-		    MU_NAME_LEN - 1);
-	return 0;
-}
-
 static int
 by_sha256(const void *a, const void *b)
 {
@@ -275,7 +240,7 @@
 	for (i = 0; i < n; i++) {
 		(void)snprintf(
 		    path, sizeof(path), "%s[%u].caller", list, i + 1);
-		if ((rc = check_name(path, keys[i].caller, e)) != 0)
+		if ((rc = mu_yaml_name(path, keys[i].caller, e)) != 0)
 			return rc;
 		(void)snprintf(
 		    path, sizeof(path), "%s[%u].sha256", list, i + 1);
@@ -321,9 +286,9 @@
 {
 	int rc;
 
-	if ((rc = check_name("host", c->host, e)) != 0 ||
-	    (rc = check_name("domain", c->domain, e)) != 0 ||
-	    (rc = check_name("region", c->region, e)) != 0 ||
+	if ((rc = mu_yaml_name("host", c->host, e)) != 0 ||
+	    (rc = mu_yaml_name("domain", c->domain, e)) != 0 ||
+	    (rc = mu_yaml_name("region", c->region, e)) != 0 ||
 	    (rc = check_addrs(c, e)) != 0 || (rc = check_times(c, e)) != 0 ||
 	    (rc = check_level(c->log_level, e)) != 0)
 		return rc;
@@ -368,25 +333,15 @@
 int
 mu_conf_load(const char *file, struct mu_conf **c, struct mu_error *e)
 {
-	char *buf = NULL;
-	FILE *f;
+	char *buf;
 	size_t n;
 	int rc;
 
-	if ((f = fopen(file, "re")) == NULL)
-		return mu_yaml_fail(e, file, "%s", strerror(errno));
-	rc = mu_fail(e, MU_E_NOMEM, MU_OUTCOME_NOT_RUN, 0, "out of memory");
-	if ((buf = malloc(CONF_MAX_BYTES + 1)) == NULL)
-		goto out;
-	/* One byte more than allowed, so that mu_conf_parse() refuses it. */
-	n = fread(buf, 1, CONF_MAX_BYTES + 1, f);
-	if (ferror(f))
-		rc = mu_yaml_fail(e, file, "%s", strerror(errno));
-	else
-		rc = mu_conf_parse(buf, n, c, e);
-out:
+	rc = mu_yaml_read(file, CONF_MAX_BYTES, &buf, &n, e);
+	if (rc != 0)
+		return rc;
+	rc = mu_conf_parse(buf, n, c, e);
 	free(buf);
-	(void)fclose(f);
 	return rc;
 }
 
--- a/src/serveconf.c
+++ b/src/serveconf.c
@@ -79,40 +79,6 @@
 #undef X
 	    {NULL, NULL, NULL}};
 
-static int
-number(const char *path, const uint64_t *raw, uint32_t def, uint32_t lo,
-    uint32_t hi, uint32_t *to, struct mu_error *e)
-{
-	uint64_t n = raw != NULL ? *raw : def;
-
-	if (n < lo || n > hi)
-		return mu_yaml_fail(e, path,
-		    "%" PRIu64 "; expected an integer %u to %u", n, lo, hi);
-	*to = (uint32_t)n;
-	return 0;
-}
-
-static int
-check_name(const char *path, const char *s, struct mu_error *e)
-{
-	if (!mu_name_valid(s))
-		return mu_yaml_fail(e, path,
-		    "'%.40s'; expected 1 to %d letters, digits and ._-", s,
-		    MU_NAME_LEN - 1);
-	return 0;
-}
-
-static int
-check_addr(const char *path, const char *s, struct mu_error *e)
-{
-	char ip[MU_ADDR_LEN];
-	uint16_t port;
-
-	if (mu_addr_parse(s, ip, &port) != 0)
-		return mu_yaml_fail(e, path, "'%.60s'; expected IP:PORT", s);
-	return 0;
-}
-
 static int
 check(const struct mu_serveconf *c, struct mu_error *e)
 {
@@ -120,12 +86,12 @@
 
 #define X(f, flag, expected, def) \
 	if (rc == 0) \
-		rc = check_name(#f, c->f, e);
+		rc = mu_yaml_name(#f, c->f, e);
 	NAMES(X)
 #undef X
 #define X(f, flag, expected, def) \
 	if (rc == 0) \
-		rc = check_addr(#f, c->f, e);
+		rc = mu_yaml_addr(#f, c->f, e);
 	ADDRS(X)
 #undef X
 	return rc;
@@ -147,7 +113,7 @@
 		c->log_level = strdup(DEFAULT_LOG_LEVEL);
 #define X(f, def, lo, hi) \
 	if (rc == 0) \
-		rc = number(#f, r->f, def, lo, hi, &c->f, e);
+		rc = mu_yaml_number(#f, r->f, def, lo, hi, &c->f, e);
 	NUMBERS(X)
 #undef X
 	return rc;
@@ -181,24 +147,14 @@
 mu_serveconf_load(const char *file, struct mu_serveconf **c, struct mu_error *e)
 {
 	char *buf;
-	FILE *f;
 	size_t n;
 	int rc;
 
-	if ((f = fopen(file, "re")) == NULL)
-		return mu_yaml_fail(e, file, "%s", strerror(errno));
-	buf = malloc(MAX_BYTES + 1);
-	if (buf == NULL) {
-		(void)fclose(f);
-		return mu_fail(
-		    e, MU_E_NOMEM, MU_OUTCOME_NOT_RUN, 0, "out of memory");
-	}
-	/* One byte more than allowed, so that the parser refuses it. */
-	n = fread(buf, 1, MAX_BYTES + 1, f);
-	rc = ferror(f) ? mu_yaml_fail(e, file, "%s", strerror(errno))
-		       : mu_serveconf_parse(buf, n, c, e);
+	rc = mu_yaml_read(file, MAX_BYTES, &buf, &n, e);
+	if (rc != 0)
+		return rc;
+	rc = mu_serveconf_parse(buf, n, c, e);
 	free(buf);
-	(void)fclose(f);
 	return rc;
 }
 
--- a/src/yamlerr.c
+++ b/src/yamlerr.c
@@ -10,6 +10,8 @@
  * Aliases are refused: they let a small text expand into a large one.  A
  * second document is refused because libcyaml would drop it silently.
  */
+#include <inttypes.h>
+#include <errno.h>
 #include <cyaml/cyaml.h>
 #include <ctype.h>
 #include <stdarg.h>
@@ -294,3 +296,62 @@
 			return false;
 	return i == n;
 }
+
+int
+mu_yaml_number(const char *path, const uint64_t *raw, uint32_t def, uint32_t lo,
+    uint32_t hi, uint32_t *to, struct mu_error *e)
+{
+	uint64_t n = raw != NULL ? *raw : def;
+
+	if (n < lo || n > hi)
+		return mu_yaml_fail(e, path,
+		    "%" PRIu64 "; expected an integer %u to %u", n, lo, hi);
+	*to = (uint32_t)n;
+	return 0;
+}
+
+int
+mu_yaml_addr(const char *path, const char *addr, struct mu_error *e)
+{
+	char ip[MU_ADDR_LEN];
+	uint16_t port;
+
+	if (mu_addr_parse(addr, ip, &port) != 0)
+		return mu_yaml_fail(e, path, "'%.60s'; expected IP:PORT", addr);
+	return 0;
+}
+
+int
+mu_yaml_name(const char *path, const char *name, struct mu_error *e)
+{
+	if (!mu_name_valid(name))
+		return mu_yaml_fail(e, path,
+		    "'%.40s'; expected 1 to %d letters, digits and ._-", name,
+		    MU_NAME_LEN - 1);
+	return 0;
+}
+
+int
+mu_yaml_read(
+    const char *file, size_t max, char **buf, size_t *len, struct mu_error *e)
+{
+	int rc = 0;
+	FILE *f;
+
+	if ((f = fopen(file, "re")) == NULL)
+		return mu_yaml_fail(e, file, "%s", strerror(errno));
+	*buf = malloc(max + 1);
+	if (*buf == NULL) {
+		rc = mu_fail(
+		    e, MU_E_NOMEM, MU_OUTCOME_NOT_RUN, 0, "out of memory");
+		goto out;
+	}
+	*len = fread(*buf, 1, max + 1, f);
+	if (ferror(f)) {
+		rc = mu_yaml_fail(e, file, "%s", strerror(errno));
+		free(*buf);
+	}
+out:
+	(void)fclose(f);
+	return rc;
+}
--- a/src/yamlerr.h
+++ b/src/yamlerr.h
@@ -33,6 +33,16 @@
 int mu_yaml_fail(struct mu_error *e, const char *path, const char *fmt, ...)
     __attribute__((format(printf, 3, 4)));
 
+/* Copies a number, or def when raw is NULL, to *to after the range check. */
+int mu_yaml_number(const char *path, const uint64_t *raw, uint32_t def,
+    uint32_t lo, uint32_t hi, uint32_t *to, struct mu_error *e);
+int mu_yaml_addr(const char *path, const char *addr, struct mu_error *e);
+int mu_yaml_name(const char *path, const char *name, struct mu_error *e);
+/* Reads a file, one byte more than max at the most, so that the parser refuses
+ * a larger one; *buf is malloc'd. */
+int mu_yaml_read(
+    const char *file, size_t max, char **buf, size_t *len, struct mu_error *e);
+
 /* Whether s is a name: 1 to MU_NAME_LEN - 1 of [A-Za-z0-9._-]. */
 bool mu_name_valid(const char *s);
 /* Whether s is exactly n hexadecimal digits. */
--- /dev/null
+++ b/test/test_serveconf.c
@@ -0,0 +1,98 @@
+/* test_serveconf.c -- settings of a serving daemon, and their page. */
+#include <stdarg.h>
+#include <stddef.h>
+#include <setjmp.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "serveconf.h"
+
+#define GOOD \
+	"host: d1\ndomain: z\nregion: r\ncaller_addr: 10.0.0.1:80\n" \
+	"ready_addr: 10.0.0.1:81\ndirectory_addr: 10.0.0.1:82\n" \
+	"mesh_addr: 10.0.0.1:83\nmetrics_addr: 10.0.0.1:84\n" \
+	"store_addr: 10.0.0.9:85\n"
+
+static int
+parse(const char *yaml, struct mu_error *e)
+{
+	struct mu_serveconf *c = NULL;
+	int rc = mu_serveconf_parse(yaml, strlen(yaml), &c, e);
+
+	if (rc == 0) {
+		assert_string_equal(c->host, "d1");
+		assert_string_equal(c->log_level, "info");
+		assert_int_equal(c->address_ttl_ms, 1000);
+	}
+	mu_serveconf_free(c);
+	return rc;
+}
+
+static void
+test_good(void **state)
+{
+	struct mu_error e = {0};
+
+	(void)state;
+	assert_int_equal(parse(GOOD, &e), 0);
+	assert_int_equal(parse(GOOD "stop_ms: 3000\n", &e), 0);
+}
+
+/* Each bad setting is named with what was expected. */
+static void
+test_bad(void **state)
+{
+	static const struct {
+		const char *yaml;
+		const char *says;
+	} bad[] = {{"", ""}, {GOOD "colour: red\n", "colour"},
+	    {GOOD "stop_ms: 5\n", "stop_ms"},
+	    {GOOD "stop_ms: soon\n", "stop_ms"},
+	    {GOOD "address_ttl_ms: 99999999\n", "address_ttl_ms"},
+	    {"host: d1\n", ""}};
+	struct mu_error e;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(bad) / sizeof(*bad); i++) {
+		memset(&e, 0, sizeof(e));
+		assert_int_equal(parse(bad[i].yaml, &e), MU_E_CONFIG_INVALID);
+		assert_non_null(strstr(e.message, bad[i].says));
+	}
+}
+
+static void
+test_page_names_every_setting(void **state)
+{
+	static const char *const names[] = {"host", "domain", "region",
+	    "caller_addr", "ready_addr", "directory_addr", "mesh_addr",
+	    "metrics_addr", "store_addr", "stop_ms", "address_ttl_ms",
+	    "log_level"};
+	char page[8192], row[64];
+	FILE *f = fopen("docs/serving-settings.md", "re");
+	size_t i, n;
+
+	(void)state;
+	assert_non_null(f);
+	n = fread(page, 1, sizeof(page) - 1, f);
+	page[n] = '\0';
+	(void)fclose(f);
+	for (i = 0; i < sizeof(names) / sizeof(*names); i++) {
+		(void)snprintf(row, sizeof(row), "| `%s` |", names[i]);
+		assert_non_null(strstr(page, row));
+	}
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_good),
+	    cmocka_unit_test(test_bad),
+	    cmocka_unit_test(test_page_names_every_setting),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
