Look at waiting calls now and then; keep rows as long as conversations need

Cause (found by reading): a call that waits for a place was looked at only when a request of its own daemon ended, so with places freed by others it waited until its deadline and got its refusal there. The row of a budget was removed a fixed time after its first draw, also under a program that goes on; a turn's row one minute after its own time, though later turns go on from it. A link accepted from a peer that lost power was never closed.

Each has a test (test_call, test_account, test_history); the links have none.

--- a/src/account.c
+++ b/src/account.c
@@ -29,6 +29,7 @@
 #define FORGET_US \
 	(90 * MU_US_PER_S) /* idle programs; longer than any pause \
 			    */
+#define HELD_US (10 * 60 * MU_US_PER_S) /* longer than any call */
 #define SWEEP_US (10 * MU_US_PER_S)
 #define KEY_BYTES 200 /* longest key of the store */
 #define PLACES 16 /* lines of one program whose caches are remembered */
@@ -102,6 +103,30 @@
 	free(p);
 }
 
+/* The program has been idle for long: its row goes, too, unless another daemon
+ * has drawn since. */
+static void
+forget(struct program *p)
+{
+	if (p->ver != 0 && p->writer == p->a->conf.incarnation)
+		mu_reaper_add(p->a->reaper, TABLE,
+		    p->a->part[mu_hash(p->id) % PARTS], p->id, p->ver,
+		    FORGET_US);
+	program_free(p);
+}
+
+/* A turn whose daemon died is never settled: it holds a program for longer, and
+ * not for good. */
+static bool
+idle(struct program *p, mu_us now)
+{
+	mu_us unused = now - p->used_at;
+
+	if (p->drawing || !cds_list_empty(&p->waiters))
+		return false;
+	return unused > (cds_list_empty(&p->holds) ? FORGET_US : HELD_US);
+}
+
 static void
 on_sweep(void *arg)
 {
@@ -110,9 +135,8 @@
 	struct program *p, *next;
 
 	cds_list_for_each_entry_safe (p, next, &a->all, all)
-		if (!p->drawing && cds_list_empty(&p->waiters) &&
-		    now - p->used_at > FORGET_US)
-			program_free(p);
+		if (idle(p, now))
+			forget(p);
 	mu_timer_set(a->loop, &a->sweep, now + SWEEP_US);
 }
 
@@ -283,10 +307,6 @@
 	p->drawing = false;
 	switch (r->status) {
 	case MU__STORE_RESULT__STATUS__DONE:
-		if (p->ver == 0)
-			mu_reaper_add(p->a->reaper, TABLE,
-			    p->a->part[mu_hash(p->id) % PARTS], p->id,
-			    FORGET_US);
 		p->ver = r->ver;
 		p->writer = p->a->conf.incarnation;
 		wrote(p, p->returning ? p->ledger.granted - p->amount
--- a/src/callplace.c
+++ b/src/callplace.c
@@ -3,16 +3,21 @@
  *
  * Builds the view of the service's endpoints for this call, asks choose.c, and
  * keeps the calls that wait in the order that choose.c gives.  They are looked
- * at again whenever a request of this daemon ends.
+ * at again whenever a request of this daemon ends, and now and then, since
+ * places also become free by what other daemons' requests end.  One that can
+ * no longer be served in time is refused then and not at its deadline.
  */
 #include <stdio.h>
 #include <string.h>
 
 #include "call_private.h"
 
+#define LOOK_US (20 * MU_US_PER_MS) /* a part of a usual call */
+#define RETRY_LATE_MS 250 /* some places become free meanwhile */
 #define PREFILL_US 6 /* to read a prompt token, of a usual model endpoint */
 
 static bool try_place(struct mu_call *c, bool queued);
+static void look_later(struct mu_serve *s, struct mu_group *g);
 
 static bool
 was_tried(const struct mu_call *c, const char *name)
@@ -80,6 +85,43 @@
 	d->left = c->deadline - now;
 }
 
+/* Refuses those that wait and can no longer be served in time. */
+static void
+refuse_late(struct mu_serve *s, struct mu_group *g)
+{
+	struct mu_call *c, *next;
+	mu_us now = mu_loop_now(s->loop);
+
+	cds_list_for_each_entry_safe (c, next, &g->waiting, node)
+		if (c->deadline - now < g->call)
+			mu_call_give_up(c, RETRY_LATE_MS, "overloaded");
+}
+
+static void
+on_look(void *arg)
+{
+	struct mu_group *g = arg;
+	struct mu_call *c;
+	struct mu_serve *s;
+
+	if (cds_list_empty(&g->waiting))
+		return;
+	c = cds_list_first_entry(&g->waiting, struct mu_call, node);
+	s = c->s;
+	refuse_late(s, g);
+	mu_call_retry_waiting(s, g);
+	if (!cds_list_empty(&g->waiting))
+		look_later(s, g);
+}
+
+static void
+look_later(struct mu_serve *s, struct mu_group *g)
+{
+	g->look.fn = on_look;
+	g->look.arg = g;
+	mu_timer_set(s->loop, &g->look, mu_loop_now(s->loop) + LOOK_US);
+}
+
 static void
 enqueue(struct mu_call *c)
 {
@@ -87,6 +129,8 @@
 
 	c->state = ST_WAIT;
 	c->group->nwaiting++;
+	if (c->group->look.slot == 0)
+		look_later(c->s, c->group);
 	cds_list_for_each_entry (w, &c->group->waiting, node)
 		if (mu_choose_before(&c->rank, &w->rank)) {
 			cds_list_add_tail(&c->node, &w->node);
--- a/src/history.c
+++ b/src/history.c
@@ -20,6 +20,9 @@
 
 #define TABLE "turns"
 #define PARTS 16 /* the platform runs 200 writes a second in a part */
+/* A row stays for this long beyond its own time: later turns, written by any
+ * daemon, go on from it.  The longest conversation that is kept whole. */
+#define CHAIN_US (30 * 60 * MU_US_PER_S)
 #define CHUNK_BYTES ((size_t)48 * 1024) /* of a row; the platform takes 64 */
 #define CHUNKS_MAX 99 /* two digits in a key */
 #define BATCH_ROWS 100 /* rows of one write, by the platform */
@@ -248,7 +251,7 @@
 	h->pending--;
 	if (st == MU_HISTORY_OK) {
 		mu_reaper_add(h->reaper, TABLE, h->part[part_of(c->key)].name,
-		    c->key, c->keep);
+		    c->key, 0, c->keep + CHAIN_US);
 		mu_count(MU_M_RECORDS, 1);
 		mu_observe(MU_H_COMMIT, took);
 	} else {
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -28,6 +28,7 @@
 #define READ_BYTES 16384
 #define DIAL_US (1 * MU_US_PER_S) /* between two attempts to one peer */
 #define CONNECT_US (500 * MU_US_PER_MS)
+#define PROBE_S 10 /* between probes of an idle link */
 #define BACKLOG 128
 /* to each other failure domain: for store calls that this one cannot make,
  * and for callers when it is all gone */
@@ -321,6 +322,7 @@
 {
 	struct mu_mesh_link *l = calloc(1, sizeof(*l));
 	int on = 1, unacked = (int)m->conf.silence_ms;
+	int probe_s = PROBE_S;
 
 	if (l == NULL) {
 		(void)close(fd);
@@ -329,6 +331,13 @@
 	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	(void)setsockopt(
 	    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked, sizeof(unacked));
+	/* An accepted link carries no bytes of this end: only probes tell that
+	 * its peer has lost power. */
+	(void)setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+	(void)setsockopt(
+	    fd, IPPROTO_TCP, TCP_KEEPIDLE, &probe_s, sizeof(probe_s));
+	(void)setsockopt(
+	    fd, IPPROTO_TCP, TCP_KEEPINTVL, &probe_s, sizeof(probe_s));
 	l->mesh = m;
 	l->references = 1;
 	l->opened = mu_loop_now(m->loop);
--- a/src/reaper.c
+++ b/src/reaper.c
@@ -12,7 +12,6 @@
 #include "reaper.h"
 
 #define EVERY_US (10 * MU_US_PER_S)
-#define MARGIN_US (60 * MU_US_PER_S) /* a returning caller may be late */
 #define BATCH_US (50 * MU_US_PER_MS) /* between batches: others write, too */
 #define LIMIT_US (2 * MU_US_PER_S) /* of one removal; then the rows stay */
 #define BATCH_ROWS 100 /* rows of one write, by the platform */
@@ -22,6 +21,7 @@
 	const char *table;
 	const char *part;
 	char *key;
+	uint64_t ver; /* that the row must have; 0: any */
 	mu_us at;
 };
 
@@ -35,7 +35,9 @@
 static void
 on_removed(void *arg __attribute__((unused)), const Mu__StoreResult *r)
 {
-	if (r->status != MU__STORE_RESULT__STATUS__DONE)
+	/* A row that has changed is in use: who uses it removes it. */
+	if (r->status != MU__STORE_RESULT__STATUS__DONE &&
+	    r->status != MU__STORE_RESULT__STATUS__CONFLICT)
 		mu_log(MU_LOG_WARN, "reaper", "remove_failed", "{s:i}",
 		    "status", (int)r->status);
 }
@@ -55,13 +57,16 @@
 	mu_us now = mu_loop_now(r->loop);
 	const char *part = NULL;
 	struct due *d, *next;
+	bool alone = false;
 	size_t n = 0;
 
 	cds_list_for_each_entry_safe (d, next, &r->rows, node) {
-		if (d->at > now || n == BATCH_ROWS)
+		if (d->at > now || n == BATCH_ROWS || alone)
 			break;
-		if (part != NULL && strcmp(d->part, part) != 0)
+		if (part != NULL && (strcmp(d->part, part) != 0 || d->ver != 0))
 			continue;
+		/* A condition that fails would keep the whole batch. */
+		alone = d->ver != 0;
 		part = d->part;
 		cds_list_del(&d->node);
 		cds_list_add_tail(&d->node, batch);
@@ -87,8 +92,13 @@
 		rows[op.n_remove].table = (char *)(uintptr_t)d->table;
 		rows[op.n_remove].part = (char *)(uintptr_t)d->part;
 		rows[op.n_remove].key = d->key;
+		rows[op.n_remove].ver = d->ver;
 		op.n_remove++;
 	}
+	if (rows[0].ver != 0) {
+		op.n_expected = 1;
+		op.expected = gone;
+	}
 	op.kind = MU__STORE_OP__KIND__WRITE;
 	op.remove = gone;
 	mu_store_run(
@@ -139,7 +149,7 @@
 
 void
 mu_reaper_add(struct mu_reaper *r, const char *table, const char *part,
-    const char *key, mu_us keep)
+    const char *key, uint64_t ver, mu_us keep)
 {
 	struct due *d = calloc(1, sizeof(*d));
 
@@ -151,6 +161,7 @@
 	}
 	d->table = table;
 	d->part = part;
-	d->at = mu_loop_now(r->loop) + keep + MARGIN_US;
+	d->ver = ver;
+	d->at = mu_loop_now(r->loop) + keep;
 	cds_list_add_tail(&d->node, &r->rows);
 }
--- a/src/targets.c
+++ b/src/targets.c
@@ -202,13 +202,16 @@
 mu_targets_clear(struct mu_targets *t)
 {
 	struct mu_hnode *n, *next;
+	struct mu_group *g;
 	size_t i;
 
 	each(t, unlist_all);
 	for (i = 0; i < t->groups.nbuckets; i++)
 		for (n = t->groups.bucket[i]; n != NULL; n = next) {
 			next = n->next;
-			free(MU_OWNER(n, struct mu_group, node));
+			g = MU_OWNER(n, struct mu_group, node);
+			mu_timer_clear(t->loop, &g->look);
+			free(g);
 		}
 	mu_hmap_clear(&t->by_name);
 	mu_hmap_clear(&t->groups);
--- a/src/targets.h
+++ b/src/targets.h
@@ -65,6 +65,7 @@
 	mu_us call; /* smoothed time of a call */
 	mu_us first; /* smoothed time until the first byte of an answer */
 	bool retrying; /* its waiting calls are being looked at */
+	struct mu_timer look; /* when they are looked at again */
 };
 
 struct mu_targets {
--- a/test/test_account.c
+++ b/test/test_account.c
@@ -224,6 +224,31 @@
 	settle(f, 0, "t3", 0);
 }
 
+/* The row of a program that is idle for long is removed, but not one that
+ * another daemon has drawn from since. */
+static void
+test_row_goes_with_its_program(void **state)
+{
+	struct fixture *f = *state;
+
+	assert_int_equal(reserve(f, 0, "t1", 3500, 1000), MU_BEGIN_OK);
+	settle(f, 0, "t1", 50);
+	run_ms(f->loop, &f->clock, 1000);
+	assert_int_equal(reserve(f, 1, "t2", 3500, 1000), MU_BEGIN_OK);
+	mu_clock_advance(&f->clock, 100 * MU_US_PER_S);
+	run_ms(f->loop, &f->clock, 100);
+	mu_clock_advance(&f->clock, 100 * MU_US_PER_S);
+	run_ms(f->loop, &f->clock, 100);
+	/* The second daemon still has a turn in progress. */
+	assert_false(f->mem->row[0].removed);
+	settle(f, 1, "t2", 50);
+	mu_clock_advance(&f->clock, 100 * MU_US_PER_S);
+	run_ms(f->loop, &f->clock, 100);
+	mu_clock_advance(&f->clock, 100 * MU_US_PER_S);
+	run_ms(f->loop, &f->clock, 100);
+	assert_true(f->mem->row[0].removed);
+}
+
 static void
 test_remembers_where_prompts_are_cached(void **state)
 {
@@ -255,6 +280,7 @@
 	    T(test_leaving_daemon_gives_back),
 	    T(test_only_programs_that_have_begun),
 	    T(test_remembers_where_prompts_are_cached),
+	    T(test_row_goes_with_its_program),
 #undef T
 	};
 
--- a/test/test_call.c
+++ b/test/test_call.c
@@ -384,7 +384,8 @@
 
 	ready(f);
 	c = kit_call(f->loop, f->addr, GET("/look/a", "r1"));
-	assert_true(kit_until(f->loop, 1000, e->requests == 1));
+	(void)kit_until(f->loop, 1000, e->requests == 1);
+	assert_int_equal(e->requests, 1);
 	kit_caller_free(c);
 	assert_true(kit_until(f->loop, 500, e->gone == 1));
 	assert_true(kit_until(f->loop, 500, f->serve.calls == 0));
@@ -427,6 +428,35 @@
 	assert_int_equal(f->end[1]->requests, 6);
 }
 
+/* All places are taken by others' requests, and this daemon has none that could
+ * end: a call that waits is sent when they end, and one that can no longer be
+ * served is told before its time is over. */
+static void
+test_waits_without_requests_of_its_own(void **state)
+{
+	static const struct kit_step s[] = {{PLAIN, false, false}};
+	struct fixture *f = *state;
+	struct kit_end *e = endpoint(f, "app", s, 1);
+	struct kit_caller *c;
+	mu_us began;
+
+	ready(f);
+	mu_targets_peer(&f->serve.targets, "i-0", 0, 20, 0);
+	began = mu_now(&f->clock);
+	c = kit_call(f->loop, f->addr, GET("/look/a", "r1"));
+	assert_true(kit_until(
+	    f->loop, 1190, strstr(kit_got(c), "HTTP/1.1 503") != NULL));
+	assert_true(mu_now(&f->clock) - began < 1150 * MU_US_PER_MS);
+	kit_caller_free(c);
+	c = kit_call(f->loop, f->addr, GET("/look/a", "r2"));
+	kit_wait(f->loop, 100);
+	assert_int_equal(e->requests, 0);
+	mu_targets_peer(&f->serve.targets, "i-0", 20, 0, 0);
+	(void)kit_until(f->loop, 1000, e->requests == 1);
+	assert_int_equal(e->requests, 1);
+	kit_caller_free(c);
+}
+
 /* The lines that docs/OPERATIONS.md relies on. */
 static void
 test_lines_for_a_failed_request(void **state)
@@ -479,6 +509,7 @@
 	    T(test_caller_that_leaves_stops_the_endpoint),
 	    T(test_refused_in_time_when_the_store_is_out),
 	    T(test_dead_endpoint_is_left_alone),
+	    T(test_waits_without_requests_of_its_own),
 	    T(test_lines_for_a_failed_request),
 #undef T
 	};
--- a/test/test_history.c
+++ b/test/test_history.c
@@ -229,11 +229,11 @@
 	commit(f, r, MU_US_PER_S);
 	run_ms(f->loop, &f->clock, 100);
 	assert_int_equal(f->ok, 1);
-	mu_clock_advance(&f->clock, 59 * MU_US_PER_S);
+	mu_clock_advance(&f->clock, 29 * 60 * MU_US_PER_S);
 	run_ms(f->loop, &f->clock, 100);
 	assert_int_equal(f->mem->nrows, 1);
 	assert_false(f->mem->row[0].removed);
-	mu_clock_advance(&f->clock, 80 * MU_US_PER_S);
+	mu_clock_advance(&f->clock, 3 * 60 * MU_US_PER_S);
 	run_ms(f->loop, &f->clock, 100);
 	assert_true(f->mem->row[0].removed);
 	mu__turn_record__free_unpacked(r, NULL);
