--- a/src/account.c
+++ b/src/account.c
@@ -22,8 +22,8 @@
 
 #define TABLE "budgets"
 #define PARTS 16 /* the platform runs 200 writes a second in a part */
-/* without a turn: what is left is given back; most pauses of callers are
- * shorter */
+/* Without a turn: what is left is given back; most pauses of callers are
+ * shorter. */
 #define PAUSE_US (400 * MU_US_PER_MS)
 #define RETURN_LIMIT_US (3 * MU_US_PER_S)
 #define FORGET_US \
--- a/src/call.c
+++ b/src/call.c
@@ -27,13 +27,13 @@
 #include "metric.h"
 
 #define EVENT_MAX ((size_t)1 << 20)
-/* A request waits this long for a store that is out, then its caller is told to
- * come back: programs that begin late in an outage go on at once when it ends,
- * and none is held until its time is over. */
+/* A request waits this long for a store that is out, then its caller is told
+ * to come back: programs that begin late in an outage go on at once when it
+ * ends, and none is held until its time is over. */
 #define BEGIN_US (1 * MU_US_PER_S)
 #define RETRY_OUTAGE_MS 400
 #define RETRY_OVERLOAD_MS 250
-/* some turns end meanwhile, and a caller can still come back several times */
+/* Some turns end meanwhile, and a caller can come back several times. */
 #define RETRY_NEW_MS 350
 #define RERUNS 2 /* at an endpoint that has run it, beyond the route's own */
 
--- a/src/choose.c
+++ b/src/choose.c
@@ -16,14 +16,14 @@
 #include "choose.h"
 #include "view.h"
 
-/* of its slots: what an endpoint queues itself keeps its batch full over
- * the way of an answer */
+/* Of its slots: what an endpoint queues itself keeps its batch full over the
+ * way of an answer. */
 #define FULL_RATIO 1.5
 #define FAR_SHARE 0.10 /* of a call's time, for bytes between domains */
 #define PACE_SHARE 0.02 /* slower pace of a call for each one beside it */
 #define TIE_SHARE 0.03 /* costs closer than this are equal */
-/* above it requests queue, and each program that begins makes all of them
- * late */
+/* Above it requests queue, and each program that begins makes all of them
+ * late. */
 #define NEW_PRESSURE 0.95
 #define RETRY_MIN_MS 100
 #define RETRY_MAX_MS 900 /* callers heed a third of their time at most */
--- a/src/history.c
+++ b/src/history.c
@@ -21,7 +21,7 @@
 #define TABLE "turns"
 #define PARTS 16 /* the platform runs 200 writes a second in a part */
 /* A row stays for this long beyond its own time: later turns, written by any
- * daemon, go on from it.  The longest conversation that is kept whole. */
+ * daemon, go on from it. The longest conversation that is kept whole. */
 #define CHAIN_US (30 * 60 * MU_US_PER_S)
 #define CHUNK_BYTES ((size_t)48 * 1024) /* of a row; the platform takes 64 */
 #define CHUNKS_MAX 99 /* two digits in a key */
--- a/src/home.c
+++ b/src/home.c
@@ -17,9 +17,9 @@
 #include "home.h"
 #include "log.h"
 
-/* some draws of a slow store; that the home is gone is told by its link */
+/* Some draws of a slow store; that the home is gone is told by its link. */
 #define HOME_WAIT_US (1 * MU_US_PER_S)
-/* records of other daemons' turns; longer than any pause */
+/* Records of other daemons' turns; longer than any pause. */
 #define KEEP_US (90 * MU_US_PER_S)
 #define KEY_BYTES 200 /* longest key of the store */
 
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -30,8 +30,8 @@
 #define CONNECT_US (500 * MU_US_PER_MS)
 #define PROBE_S 10 /* between probes of an idle link */
 #define BACKLOG 128
-/* to each other failure domain: for store calls that this one cannot make,
- * and for callers when it is all gone */
+/* To each other failure domain: for store calls that this one cannot make,
+ * and for callers when it is all gone. */
 #define FAR_LINKS 3
 
 struct mu_mesh_link {
--- a/src/serve.c
+++ b/src/serve.c
@@ -16,11 +16,11 @@
 #include "serve.h"
 
 #define DAEMON_TABLE "daemons"
-/* a change is seen at once; a silent connection after this and an answer's
- * limit */
+/* A change is seen at once; a silent connection after this and an answer's
+ * limit. */
 #define CONFIG_WAIT_MS 1000
-/* twice within the time that an endpoint serves on after it says that it
- * leaves */
+/* Twice within the time that an endpoint serves on after it says that it
+ * leaves. */
 #define ENDPOINT_EVERY_MS 800
 #define DAEMON_WAIT_MS 2000
 #define HEARTBEAT_MS 200
--- a/src/targets.c
+++ b/src/targets.c
@@ -14,9 +14,9 @@
 #include "log.h"
 #include "targets.h"
 
-/* An endpoint that cannot be reached is left alone for a time that doubles with
- * each such time soon after the one before: it restarts, or goes up and down.
- */
+/* An endpoint that cannot be reached is left alone for a time that doubles
+ * with each such time soon after the one before: it restarts, or goes up and
+ * down. */
 #define DOWN_US (250 * MU_US_PER_MS)
 #define DOWN_SHIFT_MAX 4
 #define DEATH_MEMORY_US (15 * MU_US_PER_S)
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -30,12 +30,12 @@
 #include "metric.h"
 #include "upstream.h"
 
-/* a first SYN and its answer; a lost SYN is resent only after 1 s */
+/* A first SYN and its answer; a lost SYN is resent only after 1 s. */
 #define CONNECT_US (250 * MU_US_PER_MS)
 #define UNACKED_MS 1000 /* a silent connection is given up after this */
 #define IDLE_US (4 * MU_US_PER_S) /* without a Keep-Alive header */
 #define KEEPALIVE_MARGIN_US (500 * MU_US_PER_MS) /* before the peer closes */
-/* trust in an idle connection at the start, and its bounds */
+/* Trust in an idle connection at the start, and its bounds. */
 #define TRUST_START_US (2 * MU_US_PER_S)
 #define TRUST_MIN_US (100 * MU_US_PER_MS)
 #define TRUST_RAISE 8 /* a good use raises it by a part of so many */
