--- a/src/call.c
+++ b/src/call.c
@@ -58,7 +58,6 @@
 		headers[n++].value = after;
 	}
 	len = snprintf(body, sizeof(body), "{\"error\":\"%s\"}", why);
-	r->refused = true;
 	mu_in_answer(r, status, headers, n, body, (size_t)len);
 }
 
@@ -339,7 +338,6 @@
 {
 	struct mu_call *c = arg;
 
-	c->beginning = false;
 	if (c->dead || c->state != ST_BEGIN) {
 		settle(c, NULL); /* given up meanwhile: nothing was used */
 		call_unref(c);
@@ -393,7 +391,6 @@
 	b.deadline = c->arrived + BEGIN_US < c->deadline ? c->arrived + BEGIN_US
 							 : c->deadline;
 	c->state = ST_BEGIN;
-	c->beginning = true;
 	c->references++;
 	mu_home_begin(c->s->home, &b, &c->grant, on_begun, c);
 }
--- a/src/call.h
+++ b/src/call.h
@@ -28,7 +28,6 @@
 	const char *last_event; /* event that the caller has; NULL: none */
 	char **parts; /* of the prompt, but for the first, the last one first */
 	size_t nparts;
-	const char *first_part; /* of the prompt, shared by many; NULL: none */
 };
 
 struct mu_call;
--- a/src/call_private.h
+++ b/src/call_private.h
@@ -33,7 +33,6 @@
 	struct mu_group *group;
 	struct mu_waiting rank;
 	enum mu_call_state state;
-	bool beginning; /* mu_home_begin() has not ended */
 	bool dead; /* closed while something still refers to it */
 	unsigned references;
 	uint64_t fingerprint; /* of the request, whoever sends it */
--- a/src/inbound.c
+++ b/src/inbound.c
@@ -166,7 +166,6 @@
 {
 	if (r->response != NULL || r->broken)
 		return;
-	r->streaming = true;
 	set_response(r, status,
 	    MHD_create_response_from_callback(
 		MHD_SIZE_UNKNOWN, STREAM_BLOCK, read_stream, r, NULL),
--- a/src/inbound.h
+++ b/src/inbound.h
@@ -45,7 +45,6 @@
 	void *user; /* the handler's */
 	struct mu_arena *arena;
 	bool gone; /* the caller has closed its connection */
-	bool refused; /* the answer is the daemon's own */
 	/* Private to inbound.c. */
 	char *uri;
 	struct mu_watch watch;
@@ -55,7 +54,6 @@
 	struct MHD_Response *response; /* made and not queued yet */
 	int status;
 	struct mu_buf out; /* of a stream */
-	bool streaming;
 	bool ended;
 	bool broken;
 };
--- a/src/routes.h
+++ b/src/routes.h
@@ -38,7 +38,6 @@
 
 struct mu_service {
 	char *name;
-	uint32_t max_connections; /* to one endpoint, of all daemons */
 	uint32_t tokens_per_event; /* model services; 0: a plain service */
 	uint32_t slots; /* requests at once; 0: unknown */
 };
@@ -50,7 +49,6 @@
 	size_t nroutes;
 	struct mu_service *service;
 	size_t nservices;
-	uint32_t idle_ms; /* callers' connections */
 };
 
 struct mu_routes *mu_routes_ref(struct mu_routes *r);
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -58,7 +58,6 @@
 	bool done; /* own answer complete */
 	bool reading; /* inside http_parser_execute() */
 	bool cancelled; /* while reading */
-	bool malformed;
 	bool started; /* first byte of the own answer came */
 	unsigned skipped;
 	mu_us idle_limit;
--- a/test/test_adapter.c
+++ b/test/test_adapter.c
@@ -111,7 +111,6 @@
 	(void)state;
 	assert_non_null(t);
 	assert_int_equal(t->version, 7);
-	assert_int_equal(t->idle_ms, 9000);
 	assert_string_equal(mu_routes_find(t, "h", "/a/x")->name, "a");
 	assert_string_equal(mu_routes_find(t, "H", "/a/b/c")->name, "b");
 	assert_null(mu_routes_find(t, "h", "/ab"));
