Retry a lease renewal at once when an earlier process renewed first

Cause: a daemon that starts while an earlier process of its host still runs reads the host's lease row and renews it under the condition that the row has not changed. The earlier process renews at the same interval (renew_ms), so between the read after a conflict and the next try, one interval later, the row changes again: without other writes the successor never gets the lease, both processes go on, and the successor owns nothing.

Ruled out: the ports of the test (below the range of outgoing connections, an address of its own), the peers (linked to the successor within 0.1 s).

Change: after such a conflict the next try follows at once.

Test: test_journal test_successor_follows_renewals_at_once (the clock stands still, three renewals in between) fails without the change and passes with it.

--- a/src/journal.c
+++ b/src/journal.c
@@ -395,6 +395,18 @@
 	json_decref(v);
 }
 
+/*
+ * The earlier process still runs and renewed between this one's read and its
+ * write.  The next try follows at once: one that waited for renew_ms would
+ * meet a renewal in between each time, as both have the same interval.
+ */
+static void
+follow_renewal(struct mu_journal *j, const struct mu_row *row)
+{
+	take_lease_row(j, row);
+	j->last_sent -= j->conf.renew_ms * MU_US_PER_MS;
+}
+
 static void
 lose_slot(struct mu_journal *j, struct batch *b, unsigned slot)
 {
@@ -448,7 +460,7 @@
 		if (j->held)
 			usurped(j);
 		else
-			take_lease_row(j, &row); /* its last renewal */
+			follow_renewal(j, &row);
 		batch_dissolve(j, b);
 	} else {
 		if (is_row_key(key, &slot) && !owned_anew(j, b, slot)) {
--- a/test/fakeplatform.h
+++ b/test/fakeplatform.h
@@ -20,7 +20,9 @@
 	FAKE_OK,
 	FAKE_REFUSE, /* does not run */
 	FAKE_LOSE, /* runs, the answer is lost */
-	FAKE_DROP /* does not run, but the answer is lost as well */
+	FAKE_DROP, /* does not run, but the answer is lost as well */
+	FAKE_OVERTAKEN /* another process writes the row of its last check
+			  just before */
 };
 
 static struct {
@@ -140,7 +142,10 @@
 	mode = fake.mode_left != 0 ? fake.mode : FAKE_OK;
 	if (fake.mode_left > 0)
 		fake.mode_left--;
-	if (mode == FAKE_OK || mode == FAKE_LOSE)
+	if (mode == FAKE_OVERTAKEN)
+		fake_put(txn->checks[txn->nchecks - 1].key,
+		    "{\"counter\":9,\"token\":\"other\"}", ++fake.rev);
+	if (mode == FAKE_OK || mode == FAKE_LOSE || mode == FAKE_OVERTAKEN)
 		fake_run(txn, out);
 	if (mode == FAKE_REFUSE)
 		out->kind = MU_COMMIT_REFUSED;
--- a/test/test_journal.c
+++ b/test/test_journal.c
@@ -8,10 +8,12 @@
 
 #include "fakeplatform.h"
 #include "journal.h"
+#include "wait.h"
 
 #define SLOT 3
 #define WAIT_MS 20000 /* a limit for the test, not a measure */
 #define LEASE_MS 1000000
+#define RENEW_MS 500 /* due when the clock of a test starts */
 
 static struct mu_clock clk;
 static int lost_slot, usurped;
@@ -31,7 +33,7 @@
 }
 
 static struct mu_journal *
-open_journal(void)
+open_journal(uint32_t renew_ms)
 {
 	struct mu_journal_conf c = {0};
 	struct mu_journal *j;
@@ -41,7 +43,7 @@
 	c.host = "a";
 	c.incarnation = 7;
 	c.lease_ms = LEASE_MS;
-	c.renew_ms = LEASE_MS / 3;
+	c.renew_ms = renew_ms;
 	c.buffer = 4;
 	c.clock = &clk;
 	c.on_lost = on_lost;
@@ -60,7 +62,7 @@
 
 	fake_reset();
 	mu_slot_key(key, SLOT);
-	j = open_journal();
+	j = open_journal(LEASE_MS / 3);
 	mu_journal_own(j, SLOT, fake_write(key, "{}"), 0);
 	while (!mu_journal_platform_ok(j))
 		continue;
@@ -317,6 +319,31 @@
 	fake_reset();
 }
 
+/*
+ * The earlier process still renews, at the same interval as its successor.  The
+ * clock stands still: a successor that waits for the next interval would wait
+ * for ever here, and on processes meets a renewal each time.
+ */
+static void
+test_successor_follows_renewals_at_once(void **state)
+{
+	struct mu_journal *j;
+	int polls = WAIT_MS;
+
+	(void)state;
+	fake_reset();
+	fake_write("lease/a", "{\"counter\":3,\"token\":\"other\"}");
+	fake_mode(FAKE_OVERTAKEN, 3);
+	j = open_journal(RENEW_MS);
+	while (mu_journal_lease_left(j) == 0 && polls-- > 0)
+		mu_sleep_ms(1);
+	assert_int_equal(
+	    mu_journal_lease_left(j), (mu_us)LEASE_MS * MU_US_PER_MS);
+	assert_false(__atomic_load_n(&usurped, __ATOMIC_ACQUIRE));
+	mu_journal_close(j);
+	fake_reset();
+}
+
 int
 main(void)
 {
@@ -331,6 +358,7 @@
 	    cmocka_unit_test(test_takeover_during_a_lost_answer),
 	    cmocka_unit_test(test_record_of_an_earlier_epoch_is_lost),
 	    cmocka_unit_test(test_two_processes_of_one_name),
+	    cmocka_unit_test(test_successor_follows_renewals_at_once),
 	};
 
 	if (sodium_init() < 0)
