Outage tests: begin the outage once slots have settled

Cause: the tests created programs while slots were still handed over after the start, and then took the platform away. A slot that had been handed over and not yet read by its next owner had no owner during the outage, and its calls ended with 504 after their time.

Change: the tests wait until each daemon owns the slots that the rule gives it (mu_slot_wanted), then create their programs. All checks stay as they are.

--- a/test/fault/fault_outage.c
+++ b/test/fault/fault_outage.c
@@ -17,6 +17,7 @@
 
 #include "proc.h"
 #include "proc_call.h"
+#include "slotrule.h"
 
 #define KEY CLUSTER_CALLER_KEY
 #define OPER CLUSTER_OPERATOR_KEY
@@ -280,12 +281,42 @@
 	}
 }
 
+/* Every slot is where it stays: none is on its way when the outage begins, as
+ * its next owner could not read it then. */
+static bool
+settled(void *arg)
+{
+	struct cluster *c = arg;
+	struct mu_slot_host hosts[CLUSTER_DAEMONS] = {0};
+	json_int_t wanted[CLUSTER_DAEMONS] = {0}, owned;
+	json_t *j;
+	uint32_t k;
+	int i;
+
+	for (i = 0; i < c->conf.daemons; i++) {
+		hosts[i].name = c->daemon[i].name;
+		hosts[i].live = true;
+	}
+	for (k = 0; k < (uint32_t)c->conf.slots; k++)
+		wanted[mu_slot_wanted(hosts, (size_t)c->conf.daemons, k)]++;
+	for (i = 0; i < c->conf.daemons; i++) {
+		j = http_get(c->daemon[i].oper, "/v1/status", OPER, NULL);
+		owned = json_integer_value(
+		    json_object_get(json_object_get(j, "slots"), "owned"));
+		json_decref(j);
+		if (owned != wanted[i])
+			return false;
+	}
+	return true;
+}
+
 static void
 outlast(enum outage how)
 {
 	struct cluster *c = call_cluster(3, 2, 1);
 	int i, seq;
 
+	proc_until("slots to settle", settled, c);
 	for (i = 0; i < PROGRAMS; i++) {
 		program_at(c, &c->daemon[i % 3], ids[i]);
 		told[i][1] = model_done(&c->daemon[i % 3], ids[i], 1, NULL);
