Lend a whole turn also from a small budget

Ruled out: guarantors that are not sure (one host of 33 was replaced).

Change: a guarantor lends a turn's most at the least. Draws of a budget whose quarter is below that leave nothing out, so that the sum stays within the budget and one turn; test_guarantor plays budgets of one, three and twelve turns, and fails when the two are added.

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -3337,7 +3337,7 @@
   (ProtobufCMessageInit) mu__turn_records__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mu__guarantee__field_descriptors[4] =
+static const ProtobufCFieldDescriptor mu__guarantee__field_descriptors[5] =
 {
   {
     "id",
@@ -3387,17 +3387,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "most",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Guarantee, most),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mu__guarantee__field_indices_by_name[] = {
   3,   /* field[3] = amount */
   2,   /* field[2] = budget */
   0,   /* field[0] = id */
+  4,   /* field[4] = most */
   1,   /* field[1] = program */
 };
 static const ProtobufCIntRange mu__guarantee__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor mu__guarantee__descriptor =
 {
@@ -3407,7 +3420,7 @@
   "Mu__Guarantee",
   "mu",
   sizeof(Mu__Guarantee),
-  4,
+  5,
   mu__guarantee__field_descriptors,
   mu__guarantee__field_indices_by_name,
   1,  mu__guarantee__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -677,10 +677,14 @@
    * tokens to lend; 0: to release the rest
    */
   uint64_t amount;
+  /*
+   * that the turn may use
+   */
+  uint64_t most;
 };
 #define MU__GUARANTEE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mu__guarantee__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Mu__Guaranteed
--- a/src/account.c
+++ b/src/account.c
@@ -482,10 +482,11 @@
 }
 
 static void
-ask_guarantor(struct program *p, uint64_t amount, mu_us deadline)
+ask_guarantor(struct program *p, uint64_t most, uint64_t amount, mu_us deadline)
 {
 	struct mu_accounts_conf *c = &p->a->conf;
-	struct mu_loan_request q = {p->id, p->ledger.budget, amount, deadline};
+	struct mu_loan_request q = {
+	    p->id, p->ledger.budget, most, amount, deadline};
 
 	p->drawing = true;
 	p->loan = amount;
@@ -534,15 +535,15 @@
 			break;
 		case MU_LEDGER_DRAW:
 			if (may_borrow(p))
-				ask_guarantor(p, a.lack, w->deadline);
+				ask_guarantor(p, w->most, a.lack, w->deadline);
 			else
 				draw(p, a.draw, w->deadline);
 			break;
 		case MU_LEDGER_RELEASE:
 			if (may_borrow(p))
-				ask_guarantor(p, a.lack, w->deadline);
+				ask_guarantor(p, w->most, a.lack, w->deadline);
 			else if (p->refused != REFUSED_RELEASE)
-				ask_guarantor(p, 0, w->deadline);
+				ask_guarantor(p, w->most, 0, w->deadline);
 			else
 				exhausted(p, w);
 			break;
--- a/src/account.h
+++ b/src/account.h
@@ -21,14 +21,6 @@
 
 typedef void (*mu_begin_fn)(void *arg, enum mu_begin_status status);
 
-/* Asks a program's guarantor. */
-struct mu_loan_request {
-	const char *program;
-	uint64_t budget;
-	uint64_t amount; /* to lend; 0: to release its part */
-	mu_us deadline;
-};
-
 typedef void (*mu_loan_fn)(void *arg, const struct mu_loan *loan);
 
 struct mu_accounts_conf {
--- a/src/guarantor.c
+++ b/src/guarantor.c
@@ -116,18 +116,17 @@
 }
 
 struct mu_loan
-mu_guarantor_lend(struct mu_guarantor *g, const char *program, uint64_t budget,
-    uint64_t amount)
+mu_guarantor_lend(struct mu_guarantor *g, const struct mu_loan_request *q)
 {
+	uint64_t limit = mu_ledger_lendable(q->budget, q->most);
 	struct mu_loan loan = {false, 0};
 	struct borrower *b;
 
 	if (mu_loop_now(g->loop) < g->sure_at)
 		return loan;
-	b = get_borrower(g, program);
-	if (!b->released && amount <= mu_ledger_guaranteed(budget) &&
-	    b->lent <= mu_ledger_guaranteed(budget) - amount) {
-		b->lent += amount;
+	b = get_borrower(g, q->program);
+	if (!b->released && b->lent <= limit && q->amount <= limit - b->lent) {
+		b->lent += q->amount;
 		loan.given = true;
 	}
 	loan.lent = b->lent;
--- a/src/guarantor.h
+++ b/src/guarantor.h
@@ -28,9 +28,17 @@
 void mu_guarantor_free(struct mu_guarantor *g);
 /* The fleet has no past: there is nothing that was lent before. */
 void mu_guarantor_trust(struct mu_guarantor *g);
-/* Lends amount to a program with this budget. */
-struct mu_loan mu_guarantor_lend(struct mu_guarantor *g, const char *program,
-    uint64_t budget, uint64_t amount);
+/* What a turn lacks. */
+struct mu_loan_request {
+	const char *program;
+	uint64_t budget; /* tokens, of the whole program */
+	uint64_t most; /* that the turn may use */
+	uint64_t amount; /* to lend; 0: to release the guarantor's part */
+	mu_us deadline;
+};
+
+struct mu_loan
+mu_guarantor_lend(struct mu_guarantor *g, const struct mu_loan_request *q);
 /* Releases what is left of the program's part. */
 struct mu_loan
 mu_guarantor_release(struct mu_guarantor *g, const char *program);
--- a/src/home.c
+++ b/src/home.c
@@ -90,16 +90,15 @@
 }
 
 static struct mu_loan
-lend(struct mu_home *h, const char *program, uint64_t budget, uint64_t amount)
+lend(struct mu_home *h, const struct mu_loan_request *q)
 {
 	static const struct mu_loan none;
 
 	/* Daemons that know of other peers may take another for it. */
-	if (guarantor_of(h, program) != NULL)
+	if (guarantor_of(h, q->program) != NULL)
 		return none;
-	return amount > 0
-		   ? mu_guarantor_lend(h->guarantor, program, budget, amount)
-		   : mu_guarantor_release(h->guarantor, program);
+	return q->amount > 0 ? mu_guarantor_lend(h->guarantor, q)
+			     : mu_guarantor_release(h->guarantor, q->program);
 }
 
 struct loan {
@@ -133,7 +132,7 @@
 	struct loan *q;
 
 	if (p == NULL) {
-		loan = lend(h, r->program, r->budget, r->amount);
+		loan = lend(h, r);
 		done(done_arg, &loan);
 		return;
 	}
@@ -144,6 +143,7 @@
 	q->arg = done_arg;
 	g.program = (char *)(uintptr_t)r->program;
 	g.budget = r->budget;
+	g.most = r->most;
 	g.amount = r->amount;
 	f.body_case = MU__FRAME__BODY_GUARANTEE;
 	f.guarantee = &g;
@@ -159,7 +159,9 @@
 mu_home_on_guarantee(
     struct mu_home *h, struct mu_mesh_link *from, const Mu__Guarantee *q)
 {
-	struct mu_loan loan = lend(h, q->program, q->budget, q->amount);
+	struct mu_loan_request r = {
+	    q->program, q->budget, q->most, q->amount, MU_US_NEVER};
+	struct mu_loan loan = lend(h, &r);
 	Mu__Frame f = MU__FRAME__INIT;
 	Mu__Guaranteed g = MU__GUARANTEED__INIT;
 
--- a/src/ledger.c
+++ b/src/ledger.c
@@ -36,6 +36,14 @@
 	return budget / GUARANTEED_PART;
 }
 
+uint64_t
+mu_ledger_lendable(uint64_t budget, uint64_t most)
+{
+	uint64_t part = mu_ledger_guaranteed(budget);
+
+	return part > most ? part : most;
+}
+
 /* Tokens that are not granted to daemons, the guarantor's part included. */
 static uint64_t
 ungranted(const struct mu_ledger *l)
--- a/src/ledger.h
+++ b/src/ledger.h
@@ -45,6 +45,9 @@
 
 /* Tokens of a budget that are the guarantor's. */
 uint64_t mu_ledger_guaranteed(uint64_t budget);
+/* Tokens that it may lend to turns of which none uses more than most: never
+ * less than one turn, as draws of a budget so small leave nothing out. */
+uint64_t mu_ledger_lendable(uint64_t budget, uint64_t most);
 /* Reserves most tokens for a turn. */
 struct mu_ledger_answer mu_ledger_reserve(struct mu_ledger *l, uint64_t most);
 /* The row now says granted; amount of it was drawn by this daemon just now. */
--- a/test/test_account.c
+++ b/test/test_account.c
@@ -48,8 +48,7 @@
 
 	if (f->guarantor != NULL)
 		loan = q->amount > 0
-			   ? mu_guarantor_lend(
-				 f->guarantor, q->program, q->budget, q->amount)
+			   ? mu_guarantor_lend(f->guarantor, q)
 			   : mu_guarantor_release(f->guarantor, q->program);
 	done(done_arg, &loan);
 }
--- a/test/test_guarantor.c
+++ b/test/test_guarantor.c
@@ -49,6 +49,14 @@
 	return 0;
 }
 
+static struct mu_loan
+lend(struct fixture *f, const char *program, uint64_t budget, uint64_t amount)
+{
+	struct mu_loan_request q = {program, budget, MOST, amount, MU_US_NEVER};
+
+	return mu_guarantor_lend(f->g, &q);
+}
+
 static void
 test_lends_no_more_than_its_part(void **state)
 {
@@ -58,14 +66,14 @@
 
 	mu_guarantor_trust(f->g);
 	do {
-		loan = mu_guarantor_lend(f->g, "p", BUDGET, MOST);
+		loan = lend(f, "p", BUDGET, MOST);
 		lent += loan.given ? MOST : 0;
 		assert_int_equal(loan.lent, lent);
 	} while (loan.given);
 	assert_true(lent <= PART);
 	assert_true(lent > PART - MOST);
-	assert_true(mu_guarantor_lend(f->g, "q", BUDGET, MOST).given);
-	assert_false(mu_guarantor_lend(f->g, "r", BUDGET, PART + 1).given);
+	assert_true(lend(f, "q", BUDGET, MOST).given);
+	assert_false(lend(f, "r", BUDGET, PART + 1).given);
 }
 
 static void
@@ -75,11 +83,11 @@
 	struct mu_loan loan;
 
 	mu_guarantor_trust(f->g);
-	(void)mu_guarantor_lend(f->g, "p", BUDGET, MOST);
+	(void)lend(f, "p", BUDGET, MOST);
 	loan = mu_guarantor_release(f->g, "p");
 	assert_true(loan.given);
 	assert_int_equal(loan.lent, MOST);
-	assert_false(mu_guarantor_lend(f->g, "p", BUDGET, 1).given);
+	assert_false(lend(f, "p", BUDGET, 1).given);
 	/* Asked again, as the reply may have been lost. */
 	assert_int_equal(mu_guarantor_release(f->g, "p").lent, MOST);
 }
@@ -90,14 +98,14 @@
 {
 	struct fixture *f = *state;
 
-	assert_false(mu_guarantor_lend(f->g, "p", BUDGET, MOST).given);
+	assert_false(lend(f, "p", BUDGET, MOST).given);
 	assert_false(mu_guarantor_release(f->g, "p").given);
 	mu_clock_advance(&f->clock, 60 * MU_US_PER_S);
 	mu_loop_once(f->loop, 0);
-	assert_false(mu_guarantor_lend(f->g, "p", BUDGET, MOST).given);
+	assert_false(lend(f, "p", BUDGET, MOST).given);
 	mu_clock_advance(&f->clock, LONG_US);
 	mu_loop_once(f->loop, 0);
-	assert_true(mu_guarantor_lend(f->g, "p", BUDGET, MOST).given);
+	assert_true(lend(f, "p", BUDGET, MOST).given);
 	assert_true(mu_guarantor_release(f->g, "p").given);
 }
 
@@ -108,6 +116,15 @@
 	uint64_t lent;
 };
 
+static struct mu_loan
+lend_turn(struct fixture *f, const struct mu_ledger *l, uint64_t most,
+    uint64_t amount)
+{
+	struct mu_loan_request q = {"p", l->budget, most, amount, MU_US_NEVER};
+
+	return mu_guarantor_lend(f->g, &q);
+}
+
 /* One turn at one home; returns what it used. */
 static uint64_t
 turn(struct fixture *f, struct mu_ledger *l, struct row *row, bool out,
@@ -133,7 +150,7 @@
 		if (a.kind == MU_LEDGER_EXHAUSTED)
 			return 0;
 		if (out) {
-			loan = mu_guarantor_lend(f->g, "p", BUDGET, a.lack);
+			loan = lend_turn(f, l, most, a.lack);
 			if (loan.given)
 				mu_ledger_borrowed(l, a.lack);
 		} else if (a.kind == MU_LEDGER_RELEASE) {
@@ -171,7 +188,8 @@
 {
 	struct fixture *f = *state;
 	struct mu_ledger l[HOMES];
-	uint64_t rng = 5, spent, largest, most, served_out = 0;
+	static const uint64_t budgets[] = {BUDGET, MOST + 60, 3 * MOST};
+	uint64_t rng = 5, budget, spent, largest, most, served_out = 0;
 	struct row row;
 	int round, step, i;
 	bool out;
@@ -181,16 +199,17 @@
 		f->g = mu_guarantor_new(f->loop);
 		mu_guarantor_trust(f->g);
 		memset(&row, 0, sizeof(row));
+		budget = budgets[round % 3];
 		spent = largest = 0;
 		out = false;
 		for (i = 0; i < HOMES; i++)
-			l[i] = (struct mu_ledger){.budget = BUDGET};
+			l[i] = (struct mu_ledger){.budget = budget};
 		for (step = 0; step < STEPS; step++) {
 			i = (int)(mu_rand(&rng) % HOMES);
 			if (mu_rand(&rng) % 10 == 0)
 				out = !out;
 			if (mu_rand(&rng) % 30 == 0)
-				l[i] = (struct mu_ledger){.budget = BUDGET};
+				l[i] = (struct mu_ledger){.budget = budget};
 			if (mu_rand(&rng) % 100 == 0) {
 				mu_guarantor_free(f->g);
 				f->g = mu_guarantor_new(f->loop);
@@ -202,12 +221,23 @@
 			most = turn(f, &l[i], &row, out, most, &rng);
 			served_out += out ? most : 0;
 			spent += most;
-			assert_true(spent <= BUDGET + largest);
+			assert_true(spent <= budget + largest);
 		}
 	}
 	assert_true(served_out > 0);
 }
 
+/* A budget of two turns: one is lent, since draws keep nothing of it back. */
+static void
+test_lends_a_turn_of_a_small_budget(void **state)
+{
+	struct fixture *f = *state;
+
+	mu_guarantor_trust(f->g);
+	assert_true(lend(f, "p", 2 * MOST, MOST).given);
+	assert_false(lend(f, "p", 2 * MOST, 1).given);
+}
+
 int
 main(void)
 {
@@ -216,6 +246,7 @@
 	    T(test_lends_no_more_than_its_part),
 	    T(test_lends_nothing_after_the_release),
 	    T(test_gives_nothing_until_programs_of_before_have_ended),
+	    T(test_lends_a_turn_of_a_small_budget),
 	    T(test_any_order_keeps_the_budget),
 	};
 
