Leave a draw without an answer for a loan; explain a request from logs

Cause: a draw that was under way when the store went out held its turn, and those that waited behind it, for their whole second, at the program's home and then at the daemon that asked it (a line home_silent at +1000 ms and a loan asked for with no time left; found with the new command).

Change: a draw is given 300 ms; then those that still have time borrow, or draw again if the store answers others. A lost draw is looked up in the row as before.

--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -96,6 +96,11 @@
 long long ctl_base_read(const char *file);
 int ctl_base_write(struct ctl *c, const char *file, long long version);
 
+/* story.c */
+
+/* Prints what log lines tell of a request; "-": standard input. */
+int ctl_story(struct ctl *c, const char *id, char *const *files, size_t nfiles);
+
 /* merge.c */
 
 /*
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -153,6 +153,8 @@
     "  hosts                   entry hosts and endpoints\n"
     "  programs                programs and their owners\n"
     "  explain PROGRAM [SEQ]   each decision with its reason\n"
+    "  explain --log FILE REQUEST  a request's story from logs; asks no "
+    "daemon\n"
     "  audit                   the audit trail of changes\n"
     "  drain HOST              give a host or endpoint no new work\n"
     "  undrain HOST            give it new work again\n\n"
--- a/ctl/report.c
+++ b/ctl/report.c
@@ -13,6 +13,7 @@
 #include "ctl.h"
 
 #define ARGS_MAX 2
+#define LOGS_MAX 1024 /* files: one a daemon, at twice the largest fleet */
 #define TARGET_BYTES 512
 #define NAME_WIDTH 16
 #define ADDR_WIDTH 21
@@ -28,6 +29,8 @@
 	const char *after;
 	const char *limit;
 	const char *note;
+	char *logs[LOGS_MAX];
+	size_t nlogs;
 };
 
 static error_t
@@ -48,6 +51,11 @@
 	case 'n':
 		a->note = arg;
 		break;
+	case 'f':
+		if (a->nlogs == LOGS_MAX)
+			argp_error(state, "too many log files");
+		a->logs[a->nlogs++] = arg;
+		break;
 	case ARGP_KEY_ARG:
 		if (a->n >= a->greatest)
 			argp_error(state, "too many arguments");
@@ -74,6 +82,12 @@
 static const struct argp_option programs_options[] = {
     {"limit", 'l', "L", 0, "At most L programs of each host (default: 100)", 0},
     {0}};
+static const struct argp_option explain_options[] = {
+    {"log", 'f', "FILE", 0,
+	"Tell the story of a request from the log lines in FILE (-: standard "
+	"input), asking no daemon; may be given once for each daemon",
+	0},
+    {0}};
 static const struct argp_option drain_options[] = {
     {"note", 'n', "TEXT", 0, "Note for the audit trail", 0}, {0}};
 
@@ -83,7 +97,8 @@
     "Lists entry hosts and endpoints.", children, NULL, NULL};
 static const struct argp programs_argp = {programs_options, parse_option, "",
     "Lists the programs that each --operator host owns.", children, NULL, NULL};
-static const struct argp explain_argp = {NULL, parse_option, "PROGRAM [SEQ]",
+static const struct argp explain_argp = {explain_options, parse_option,
+    "PROGRAM [SEQ]\n--log FILE... REQUEST",
     "Shows each decision about a program or call, with its reason.", children,
     NULL, NULL};
 static const struct argp audit_argp = {audit_options, parse_option, "",
@@ -258,6 +273,8 @@
 
 	if (argp_parse(&explain_argp, argc, argv, 0, NULL, &a) != 0)
 		return CTL_USAGE;
+	if (a.nlogs > 0)
+		return ctl_story(c, a.arg[0], a.logs, a.nlogs);
 	program = ne_path_escape(a.arg[0]);
 	(void)snprintf(target, sizeof(target), "/v1/explain/%.200s%s%.20s",
 	    program, a.n > 1 ? "/" : "", a.n > 1 ? a.arg[1] : "");
--- a/src/account.c
+++ b/src/account.c
@@ -27,6 +27,9 @@
  * shorter. */
 #define PAUSE_US (400 * MU_US_PER_MS)
 #define RETURN_LIMIT_US (3 * MU_US_PER_S)
+/* Of a draw, which is then tried again, or borrowed if the store turns out to
+ * be out: many times its answer's usual time, a fraction of a turn's. */
+#define DRAW_LIMIT_US (300 * MU_US_PER_MS)
 #define FORGET_US \
 	(90 * MU_US_PER_S) /* idle programs; longer than any pause \
 			    */
@@ -302,6 +305,23 @@
 		mu_ledger_drawn(&p->ledger, p->amount, granted);
 }
 
+/* Those whose time is over. */
+static void
+answer_late(struct program *p)
+{
+	mu_us now = mu_loop_now(p->a->loop);
+	struct hold *w, *next;
+	CDS_LIST_HEAD(late);
+
+	cds_list_for_each_entry_safe (w, next, &p->waiters, node)
+		if (w->deadline <= now) {
+			cds_list_del(&w->node);
+			cds_list_add_tail(&w->node, &late);
+		}
+	cds_list_for_each_entry_safe (w, next, &late, node)
+		answer(w, MU_BEGIN_UNAVAILABLE);
+}
+
 /* A draw had no answer: the row tells later whether it took effect. */
 static void
 lose_draw(struct program *p)
@@ -309,7 +329,7 @@
 	p->lost_draw = p->draw;
 	p->lost_amount = p->amount;
 	p->refused = REFUSED_NOTHING;
-	answer_all(p, MU_BEGIN_UNAVAILABLE);
+	answer_late(p);
 }
 
 static void
@@ -413,8 +433,11 @@
 static void
 draw(struct program *p, uint64_t amount, mu_us deadline)
 {
+	mu_us limit = mu_loop_now(p->a->loop) + DRAW_LIMIT_US;
+
 	p->amount = amount;
-	write_row(p, p->ledger.granted + amount, deadline);
+	write_row(
+	    p, p->ledger.granted + amount, limit < deadline ? limit : deadline);
 }
 
 /* Gives back what is not used, when the program pauses. */
--- a/test/test_ctl.c
+++ b/test/test_ctl.c
@@ -403,10 +403,51 @@
 	return rmdir(dir);
 }
 
+/* Three lines of two daemons, as a log collector prefixes them. */
+#define STORY \
+	"  1.2 entry-2 {\"time\":\"2026-05-07T10:27:14.800000Z\"," \
+	"\"level\":\"warn\",\"module\":\"store\",\"event\":\"lost\"," \
+	"\"misses\":2}\n" \
+	"  1.3 entry-1 {\"time\":\"2026-05-07T10:27:14.900000Z\"," \
+	"\"level\":\"info\",\"module\":\"home\"," \
+	"\"event\":\"guarantor_asked\",\"program\":\"p1\",\"amount\":60}\n" \
+	"no log line {\n" \
+	"  1.4 entry-1 {\"time\":\"2026-05-07T10:27:14.700000Z\"," \
+	"\"module\":\"store\",\"event\":\"lost\"}\n" \
+	"  2.2 entry-2 {\"time\":\"2026-05-07T10:27:15.801000Z\"," \
+	"\"level\":\"warn\",\"module\":\"call\",\"event\":\"end\"," \
+	"\"request\":\"r1\",\"program\":\"p1\",\"endpoint\":\"\"," \
+	"\"status\":503,\"why\":\"state_unavailable\",\"ms\":1001}\n"
+
+static void
+test_story_of_a_request(void **state)
+{
+	const char *home, *store;
+
+	(void)state;
+	write_file(STORY);
+	assert_int_equal(CTL("explain", "--log", file, "r1"), 0);
+	store = strstr(output, "entry-2  store.lost misses=2");
+	home = strstr(output, "entry-1  home.guarantor_asked");
+	assert_non_null(store);
+	assert_non_null(home);
+	assert_true(store < home);
+	says("+1001 ms");
+	says("why=\"state_unavailable\"");
+	says("1 lines are no log lines");
+	/* What another daemon believed of the store explains nothing. */
+	assert_null(strstr(output, "entry-1  store.lost"));
+	assert_int_equal(CTL("explain", "--log", file, "r2"), 1);
+	says("no line tells the end of request r2");
+	assert_int_equal(CTL("explain", "--log", "/nonexistent", "r1"), 1);
+	says("/nonexistent");
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_story_of_a_request),
 	    cmocka_unit_test(test_usage_and_validate_need_no_daemon),
 	    cmocka_unit_test(test_apply_sends_base_note_and_key),
 	    cmocka_unit_test(
