--- a/src/choose.c
+++ b/src/choose.c
@@ -22,9 +22,10 @@
 #define FAR_SHARE 0.10 /* of a call's time, for bytes between domains */
 #define PACE_SHARE 0.02 /* slower pace of a call for each one beside it */
 #define TIE_SHARE 0.03 /* costs closer than this are equal */
-/* Above it requests queue, and each program that begins makes all of them
- * late. */
-#define NEW_PRESSURE 0.95
+/* Of the places: programs under way need the rest for their calls that come at
+ * once, and endpoints slow down as they fill.  Above it each program that
+ * begins makes others late. */
+#define NEW_PRESSURE 0.75
 #define RETRY_MIN_MS 100
 #define RETRY_MAX_MS 900 /* callers heed a third of their time at most */
 #define NONE_RETRY_MS 300 /* about until a new list of endpoints is read */
