Make a draw without an answer again as it was

Ruled out: the guarantor (the budget is below four turns: nothing is held back).

Change: a draw without an answer is repeated with its number and amount until the row is known; the two have the same condition, so only one takes effect.

Test: test_account test_several_draws_without_answer fails without the change.

--- a/src/account.c
+++ b/src/account.c
@@ -58,7 +58,8 @@
 	char id[KEY_BYTES + 1];
 	struct mu_ledger ledger;
 	uint64_t ver; /* of the row; 0: not known to exist */
-	uint64_t draw; /* number of the last draw */
+	uint64_t last_draw; /* number of the newest draw or return */
+	uint64_t draw; /* of the one in progress */
 	uint64_t amount; /* of the draw in progress */
 	uint64_t lost_draw; /* number of a draw without an answer; 0: none */
 	uint64_t lost_amount;
@@ -67,7 +68,8 @@
 	bool drawing; /* or giving back, or asking the guarantor */
 	bool returning;
 	bool fresh; /* the row was read or written for those who wait now */
-	uint64_t writer; /* incarnation that wrote the row last */
+	uint64_t writer; /* incarnation that wrote the row last... */
+	uint64_t row_draw; /* ...and the number of its draw or return */
 	mu_us used_at;
 	struct mu_timer pause;
 	struct cds_list_head waiters; /* turns that wait for a reservation */
@@ -259,14 +261,13 @@
 	w->fn(w->arg, MU_BEGIN_OK);
 }
 
-/* Takes over what the row says now; true when this draw was applied. */
-static bool
+/* Takes over what the row says now. */
+static void
 adopt(struct program *p, const Mu__StoreResult *r)
 {
 	Mu__LedgerRow *row = NULL;
-	bool mine = false;
 
-	p->ver = 0;
+	p->ver = p->writer = p->row_draw = 0;
 	p->ledger.granted = 0;
 	if (r->n_rows > 0 && strcmp(r->rows[0]->key, p->id) == 0 &&
 	    !r->rows[0]->removed && r->rows[0]->ver != 0) {
@@ -275,24 +276,34 @@
 		    NULL, r->rows[0]->value.len, r->rows[0]->value.data);
 	}
 	if (row != NULL) {
-		mine = row->writer == p->a->conf.incarnation &&
-		       row->draw == p->draw;
 		p->ledger.granted = row->granted;
 		if (row->released)
 			mu_ledger_released(&p->ledger, row->lent);
 		p->writer = row->writer;
-		if (row->writer == p->a->conf.incarnation &&
-		    row->draw == p->lost_draw)
-			mu_ledger_drawn(
-			    &p->ledger, p->lost_amount, row->granted);
-		p->lost_draw = 0;
+		p->row_draw = row->draw;
 		mu__ledger_row__free_unpacked(row, NULL);
 	} else if (p->ver != 0) {
 		mu_log(MU_LOG_ERROR, "home", "budget_row_unreadable", "{s:s}",
 		    "program", p->id);
 		p->ledger.granted = p->ledger.budget;
 	}
-	return mine;
+}
+
+/* Whether the row is what this daemon's draw of that number wrote. */
+static bool
+took_effect(const struct program *p, uint64_t number)
+{
+	return number != 0 && p->row_draw == number &&
+	       p->writer == p->a->conf.incarnation;
+}
+
+/* Counts a draw without an answer if the row shows that it took effect. */
+static void
+find_lost(struct program *p)
+{
+	if (took_effect(p, p->lost_draw))
+		mu_ledger_drawn(&p->ledger, p->lost_amount, p->ledger.granted);
+	p->lost_draw = 0;
 }
 
 /* A draw, or a return, took effect. */
@@ -342,12 +353,19 @@
 	case MU__STORE_RESULT__STATUS__DONE:
 		p->ver = r->ver;
 		p->writer = p->a->conf.incarnation;
+		p->row_draw = p->draw;
+		p->lost_draw = 0;
 		wrote(p, p->returning ? p->ledger.granted - p->amount
 				      : p->ledger.granted + p->amount);
 		break;
 	case MU__STORE_RESULT__STATUS__CONFLICT:
-		if (adopt(p, r))
+		adopt(p, r);
+		if (took_effect(p, p->draw)) {
+			p->lost_draw = 0;
 			wrote(p, p->ledger.granted);
+		} else {
+			find_lost(p);
+		}
 		break;
 	default:
 		/* An attempt without an answer may still be applied: the next
@@ -375,10 +393,12 @@
 
 	p->drawing = false;
 	p->fresh = true;
-	if (r->status == MU__STORE_RESULT__STATUS__DONE)
-		(void)adopt(p, r);
-	else
+	if (r->status == MU__STORE_RESULT__STATUS__DONE) {
+		adopt(p, r);
+		find_lost(p);
+	} else {
 		answer_all(p, MU_BEGIN_UNAVAILABLE);
+	}
 	serve(p);
 }
 
@@ -409,7 +429,6 @@
 	uint8_t value[64];
 
 	p->drawing = true;
-	p->draw++;
 	row.budget = p->ledger.budget;
 	row.granted = granted;
 	row.released = p->ledger.released;
@@ -435,6 +454,14 @@
 {
 	mu_us limit = mu_loop_now(p->a->loop) + DRAW_LIMIT_US;
 
+	/* One without an answer is made again as it was: only one of the two
+	 * can take effect, and the row then shows its number. */
+	if (p->lost_draw != 0) {
+		amount = p->lost_amount;
+		p->draw = p->lost_draw;
+	} else {
+		p->draw = ++p->last_draw;
+	}
 	p->amount = amount;
 	write_row(
 	    p, p->ledger.granted + amount, limit < deadline ? limit : deadline);
@@ -450,6 +477,7 @@
 	if (p->drawing || amount == 0 || !cds_list_empty(&p->holds))
 		return;
 	p->returning = true;
+	p->draw = ++p->last_draw;
 	p->amount = amount;
 	write_row(p, p->ledger.granted - amount,
 	    mu_loop_now(p->a->loop) + RETURN_LIMIT_US);
--- a/test/test_account.c
+++ b/test/test_account.c
@@ -166,6 +166,22 @@
 	assert_int_equal(reserve(f, 0, "t2", 500, 1000), MU_BEGIN_OK);
 }
 
+/* Found on a day with a slow store and loans: of several draws without an
+ * answer only the last was looked for, and the first had taken effect. */
+static void
+test_several_draws_without_answer(void **state)
+{
+	struct fixture *f = *state;
+
+	f->mem->fault = MEM_LOST;
+	mu_guarantor_free(f->guarantor);
+	f->guarantor = NULL;
+	assert_int_equal(reserve(f, 0, "t1", 500, 1000), MU_BEGIN_UNAVAILABLE);
+	assert_int_equal(reserve(f, 0, "t2", 500, 1000), MU_BEGIN_UNAVAILABLE);
+	f->mem->fault = MEM_WELL;
+	assert_int_equal(reserve(f, 0, "t3", 500, 1000), MU_BEGIN_OK);
+}
+
 /* Found on the same day: the asking daemon had given the home up and drew
  * itself, while the home kept a reservation that nobody would settle. */
 static void
@@ -397,6 +413,7 @@
 	    T(test_small_budget_without_its_guarantor),
 	    T(test_exact_to_the_last_turn),
 	    T(test_draw_without_answer_is_found_again),
+	    T(test_several_draws_without_answer),
 	    T(test_abandoned_reservation_is_given_back),
 	    T(test_cancelled_while_it_waits),
 	    T(test_other_daemon_goes_on_after_a_death),
