--- /dev/null
+++ b/src/account_private.h
@@ -0,0 +1,112 @@
+/*
+ * account_private.h -- a program at one daemon, shared by account.c, which
+ * serves its turns, and accountrow.c, which draws from its row.
+ */
+#ifndef MU_ACCOUNT_PRIVATE_H
+#define MU_ACCOUNT_PRIVATE_H
+
+#include <urcu/list.h>
+
+#include "account.h"
+#include "hmap.h"
+#include "ledger.h"
+
+#define MU_ACCOUNT_TABLE "budgets"
+#define MU_ACCOUNT_PARTS \
+	16 /* the platform runs 200 writes a second in a part */
+#define MU_ACCOUNT_KEY 200 /* bytes of the longest key of the store */
+#define MU_ACCOUNT_PLACES \
+	16 /* lines of one program whose caches are remembered */
+#define MU_ACCOUNT_PART 32 /* bytes of a prompt part's name */
+
+/* Where the prompt of one line of turns is cached. */
+struct place {
+	char part[MU_ACCOUNT_PART];
+	struct mu_cached at;
+};
+
+/* What the guarantor refused to the turn that waits first. */
+enum mu_account_refused {
+	MU_REFUSED_NOTHING,
+	MU_REFUSED_LOAN,
+	MU_REFUSED_RELEASE
+};
+
+struct program {
+	struct mu_hnode node;
+	struct mu_accounts *a;
+	char id[MU_ACCOUNT_KEY + 1];
+	struct mu_ledger ledger;
+	uint64_t ver; /* of the row; 0: not known to exist */
+	uint64_t last_draw; /* number of the newest draw or return */
+	uint64_t draw; /* of the one in progress */
+	uint64_t amount; /* of the draw in progress */
+	uint64_t lost_draw; /* number of a draw without an answer; 0: none */
+	uint64_t lost_amount;
+	uint64_t loan; /* asked of the guarantor; 0: its release */
+	enum mu_account_refused refused;
+	bool drawing; /* or giving back, or asking the guarantor */
+	bool returning;
+	bool fresh; /* the row was read or written for those who wait now */
+	uint64_t writer; /* incarnation that wrote the row last... */
+	uint64_t row_draw; /* ...and the number of its draw or return */
+	mu_us used_at;
+	struct mu_timer pause;
+	struct cds_list_head waiters; /* turns that wait for a reservation */
+	struct cds_list_head holds; /* turns that have one */
+	bool begun; /* a turn of it has been served */
+	struct place place[MU_ACCOUNT_PLACES];
+	unsigned next_place;
+	struct cds_list_head all;
+};
+
+/* A turn that waits for its reservation or has it. */
+struct hold {
+	struct cds_list_head node;
+	char turn[MU_ACCOUNT_KEY + 1];
+	uint64_t most;
+	mu_us deadline;
+	mu_begin_fn fn;
+	void *arg;
+};
+
+struct mu_accounts {
+	struct mu_loop *loop;
+	struct mu_store *store;
+	struct mu_reaper *reaper;
+	struct mu_accounts_conf conf;
+	struct mu_hmap programs;
+	struct cds_list_head all;
+	char part[MU_ACCOUNT_PARTS][8];
+	struct mu_timer sweep;
+	bool leaving;
+};
+
+/* The row's index among the parts of the table. */
+static inline const char *
+mu_account_part(const struct program *p)
+{
+	return p->a->part[mu_hash(p->id) % MU_ACCOUNT_PARTS];
+}
+
+/* accountrow.c */
+
+/* Draws amount; the turns that wait are served again when that has ended. */
+void mu_account_draw(struct program *p, uint64_t amount, mu_us deadline);
+/* Reads the row: others may have given back since. */
+void mu_account_reread(struct program *p, mu_us deadline);
+/* Plans to give back what is not used, unless turns are in progress. */
+void mu_account_plan_return(struct program *p);
+/* The pause timer of a program. */
+void mu_account_on_pause(void *arg);
+
+/* account.c */
+
+/* Answers those who wait, in order, while the budget drawn so far lasts. */
+void mu_account_serve(struct program *p);
+/* Answers all that wait with UNAVAILABLE. */
+void mu_account_give_up(struct program *p);
+/* The same for those whose time is over. */
+void mu_account_give_up_late(struct program *p);
+
+#endif
--- /dev/null
+++ b/src/accountrow.c
@@ -0,0 +1,239 @@
+/*
+ * accountrow.c -- draws from a program's row, and returns to it.
+ *
+ * One write at a time, under the condition that the row has not changed.  A
+ * draw without an answer may still take effect: it is made again as it was, so
+ * that only one of the two can, and the row's number tells afterwards.
+ */
+#include <jansson.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "account_private.h"
+#include "log.h"
+#include "metric.h"
+
+/* Without a turn: what is left is given back; most pauses of callers are
+ * shorter. */
+#define PAUSE_US (400 * MU_US_PER_MS)
+#define RETURN_LIMIT_US (3 * MU_US_PER_S)
+/* Of a draw, which is then tried again, or borrowed if the store turns out to
+ * be out: many times its answer's usual time, a fraction of a turn's. */
+#define DRAW_LIMIT_US (300 * MU_US_PER_MS)
+
+/* Takes over what the row says now. */
+static void
+adopt(struct program *p, const Mu__StoreResult *r)
+{
+	Mu__LedgerRow *row = NULL;
+
+	p->ver = p->writer = p->row_draw = 0;
+	p->ledger.granted = 0;
+	if (r->n_rows > 0 && strcmp(r->rows[0]->key, p->id) == 0 &&
+	    !r->rows[0]->removed && r->rows[0]->ver != 0) {
+		p->ver = r->rows[0]->ver;
+		row = mu__ledger_row__unpack(
+		    NULL, r->rows[0]->value.len, r->rows[0]->value.data);
+	}
+	if (row != NULL) {
+		p->ledger.granted = row->granted;
+		if (row->released)
+			mu_ledger_released(&p->ledger, row->lent);
+		p->writer = row->writer;
+		p->row_draw = row->draw;
+		mu__ledger_row__free_unpacked(row, NULL);
+	} else if (p->ver != 0) {
+		mu_log(MU_LOG_ERROR, "home", "budget_row_unreadable", "{s:s}",
+		    "program", p->id);
+		p->ledger.granted = p->ledger.budget;
+	}
+}
+
+/* Whether the row is what this daemon's draw of that number wrote. */
+static bool
+took_effect(const struct program *p, uint64_t number)
+{
+	return number != 0 && p->row_draw == number &&
+	       p->writer == p->a->conf.incarnation;
+}
+
+/* Counts a draw without an answer if the row shows that it took effect. */
+static void
+find_lost(struct program *p)
+{
+	if (took_effect(p, p->lost_draw))
+		mu_ledger_drawn(&p->ledger, p->lost_amount, p->ledger.granted);
+	p->lost_draw = 0;
+}
+
+/* A draw, or a return, took effect. */
+static void
+wrote(struct program *p, uint64_t granted)
+{
+	if (p->returning)
+		mu_ledger_returned(&p->ledger, p->amount, granted);
+	else
+		mu_ledger_drawn(&p->ledger, p->amount, granted);
+}
+
+/* A draw had no answer: the row tells later whether it took effect. */
+static void
+lose_draw(struct program *p)
+{
+	p->lost_draw = p->draw;
+	p->lost_amount = p->amount;
+	p->refused = MU_REFUSED_NOTHING;
+	mu_account_give_up_late(p);
+}
+
+static void
+on_drawn(void *arg, const Mu__StoreResult *r)
+{
+	struct program *p = arg;
+
+	p->drawing = false;
+	switch (r->status) {
+	case MU__STORE_RESULT__STATUS__DONE:
+		p->ver = r->ver;
+		p->writer = p->a->conf.incarnation;
+		p->row_draw = p->draw;
+		p->lost_draw = 0;
+		wrote(p, p->returning ? p->ledger.granted - p->amount
+				      : p->ledger.granted + p->amount);
+		break;
+	case MU__STORE_RESULT__STATUS__CONFLICT:
+		adopt(p, r);
+		if (took_effect(p, p->draw)) {
+			p->lost_draw = 0;
+			wrote(p, p->ledger.granted);
+		} else {
+			find_lost(p);
+		}
+		break;
+	default:
+		/* An attempt without an answer may still be applied: the next
+		 * draw meets that row as a conflict. */
+		mu_log(MU_LOG_WARN, "home", "draw_failed", "{s:s,s:i}",
+		    "program", p->id, "status", (int)r->status);
+		if (p->returning)
+			/* It may be given back yet: it is not used again. */
+			mu_ledger_returned(
+			    &p->ledger, p->amount, p->ledger.granted);
+		else
+			lose_draw(p);
+		break;
+	}
+	p->returning = false;
+	p->fresh = true;
+	mu_account_serve(p);
+}
+
+/* The row was read: others may have given back since. */
+static void
+on_reread(void *arg, const Mu__StoreResult *r)
+{
+	struct program *p = arg;
+
+	p->drawing = false;
+	p->fresh = true;
+	if (r->status == MU__STORE_RESULT__STATUS__DONE) {
+		adopt(p, r);
+		find_lost(p);
+	} else {
+		mu_account_give_up(p);
+	}
+	mu_account_serve(p);
+}
+
+void
+mu_account_reread(struct program *p, mu_us deadline)
+{
+	Mu__StoreOp op = MU__STORE_OP__INIT;
+	char to[MU_ACCOUNT_KEY + 2];
+
+	p->drawing = true;
+	(void)snprintf(to, sizeof(to), "%s!", p->id);
+	op.kind = MU__STORE_OP__KIND__READ;
+	op.table = (char *)(uintptr_t)MU_ACCOUNT_TABLE;
+	op.part = (char *)(uintptr_t)mu_account_part(p);
+	op.from = p->id;
+	op.to = to;
+	op.limit = 1;
+	mu_store_run(p->a->store, &op, deadline, on_reread, p);
+}
+
+static void
+write_row(struct program *p, uint64_t granted, mu_us deadline)
+{
+	Mu__StoreOp op = MU__STORE_OP__INIT;
+	Mu__StoreRow on = MU__STORE_ROW__INIT, put = MU__STORE_ROW__INIT;
+	Mu__StoreRow *ons[] = {&on}, *puts[] = {&put};
+	Mu__LedgerRow row = MU__LEDGER_ROW__INIT;
+	uint8_t value[64];
+
+	p->drawing = true;
+	row.budget = p->ledger.budget;
+	row.granted = granted;
+	row.released = p->ledger.released;
+	row.lent = p->ledger.lent;
+	row.writer = p->a->conf.incarnation;
+	row.draw = p->draw;
+	on.table = put.table = (char *)(uintptr_t)MU_ACCOUNT_TABLE;
+	on.part = put.part = (char *)(uintptr_t)mu_account_part(p);
+	on.key = put.key = p->id;
+	on.ver = p->ver;
+	put.value.data = value;
+	put.value.len = mu__ledger_row__pack(&row, value);
+	op.kind = MU__STORE_OP__KIND__WRITE;
+	op.n_expected = op.n_put = 1;
+	op.expected = ons;
+	op.put = puts;
+	mu_count(MU_M_BUDGET_DRAWS, 1);
+	mu_store_run(p->a->store, &op, deadline, on_drawn, p);
+}
+
+void
+mu_account_draw(struct program *p, uint64_t amount, mu_us deadline)
+{
+	mu_us limit = mu_loop_now(p->a->loop) + DRAW_LIMIT_US;
+
+	/* One without an answer is made again as it was: only one of the two
+	 * can take effect, and the row then shows its number. */
+	if (p->lost_draw != 0) {
+		amount = p->lost_amount;
+		p->draw = p->lost_draw;
+	} else {
+		p->draw = ++p->last_draw;
+	}
+	p->amount = amount;
+	write_row(
+	    p, p->ledger.granted + amount, limit < deadline ? limit : deadline);
+}
+
+/* Gives back what is not used, when the program pauses. */
+void
+mu_account_on_pause(void *arg)
+{
+	struct program *p = arg;
+	uint64_t amount = mu_ledger_spare(&p->ledger, p->a->leaving);
+
+	if (p->drawing || amount == 0 || !cds_list_empty(&p->holds))
+		return;
+	p->returning = true;
+	p->draw = ++p->last_draw;
+	p->amount = amount;
+	write_row(p, p->ledger.granted - amount,
+	    mu_loop_now(p->a->loop) + RETURN_LIMIT_US);
+}
+
+void
+mu_account_plan_return(struct program *p)
+{
+	mu_us now = mu_loop_now(p->a->loop);
+
+	if (!cds_list_empty(&p->holds))
+		mu_timer_clear(p->a->loop, &p->pause);
+	else
+		mu_timer_set(p->a->loop, &p->pause,
+		    p->a->leaving ? now : now + PAUSE_US);
+}
