Settle a write of a budget row without an answer when nobody waits

A daemon had drawn by itself while the program's home was silent (slow store), its draw took effect without an answer, and it was not asked again. It held the tokens for as long as it lived; the home, which saw it alive, waited for them to be given back. The same holds for a return without an answer.

Change: the write without an answer is made again, as it was, by the pause timer too, and settled before any other write of the row.

Tests: test_account test_draw_without_answer_is_given_back and test_return_without_answer_is_made_again; both fail when the pause timer leaves it, and they and test_several_draws_without_answer fail when it is not made again as it was.

--- a/src/account.c
+++ b/src/account.c
@@ -254,6 +254,10 @@
 static void
 exhausted(struct program *p, struct hold *w)
 {
+	if (p->lost.number != 0) {
+		mu_account_draw(p, 0, w->deadline);
+		return;
+	}
 	if (!p->fresh && mu_ledger_shared(&p->ledger)) {
 		mu_account_reread(p, w->deadline);
 		return;
--- a/src/account_private.h
+++ b/src/account_private.h
@@ -32,21 +32,25 @@
 	MU_REFUSED_RELEASE
 };
 
+/* A draw from the row, or a return to it. */
+struct mu_account_write {
+	uint64_t number; /* of this daemon's writes of this row; 0: none */
+	uint64_t amount;
+	bool returning;
+};
+
 struct program {
 	struct mu_hnode node;
 	struct mu_accounts *a;
 	char id[MU_ACCOUNT_KEY + 1];
 	struct mu_ledger ledger;
 	uint64_t ver; /* of the row; 0: not known to exist */
-	uint64_t last_draw; /* number of the newest draw or return */
-	uint64_t draw; /* of the one in progress */
-	uint64_t amount; /* of the draw in progress */
-	uint64_t lost_draw; /* number of a draw without an answer; 0: none */
-	uint64_t lost_amount;
+	uint64_t last_write; /* number of the newest one */
+	struct mu_account_write write; /* in progress */
+	struct mu_account_write lost; /* the one without an answer */
 	uint64_t loan; /* asked of the guarantor; 0: its release */
 	enum mu_account_refused refused;
 	bool drawing; /* or giving back, or asking the guarantor */
-	bool returning;
 	bool fresh; /* the row was read or written for those who wait now */
 	uint64_t writer; /* incarnation that wrote the row last... */
 	uint64_t row_draw; /* ...and the number of its draw or return */
@@ -91,9 +95,11 @@
 
 /* accountrow.c */
 
-/* Draws amount; the turns that wait are served again when that has ended. */
+/* Draws amount, or settles a write without an answer instead; the turns that
+ * wait are served again when that has ended. */
 void mu_account_draw(struct program *p, uint64_t amount, mu_us deadline);
-/* Reads the row: others may have given back since. */
+/* Reads the row: others may have given back since.  Not while a write is
+ * without an answer. */
 void mu_account_reread(struct program *p, mu_us deadline);
 /* Plans to give back what is not used, unless turns are in progress. */
 void mu_account_plan_return(struct program *p);
--- a/src/accountrow.c
+++ b/src/accountrow.c
@@ -49,7 +49,7 @@
 	}
 }
 
-/* Whether the row is what this daemon's draw of that number wrote. */
+/* Whether the row is what this daemon's write of that number put there. */
 static bool
 took_effect(const struct program *p, uint64_t number)
 {
@@ -57,37 +57,42 @@
 	       p->writer == p->a->conf.incarnation;
 }
 
-/* Counts a draw without an answer if the row shows that it took effect. */
-static void
-find_lost(struct program *p)
-{
-	if (took_effect(p, p->lost_draw))
-		mu_ledger_drawn(&p->ledger, p->lost_amount, p->ledger.granted);
-	p->lost_draw = 0;
-}
-
-/* A draw, or a return, took effect. */
+/* The write in progress took effect, and the row says granted. */
 static void
 wrote(struct program *p, uint64_t granted)
 {
-	if (p->returning)
-		mu_ledger_returned(&p->ledger, p->amount, granted);
+	if (!p->write.returning)
+		mu_ledger_drawn(&p->ledger, p->write.amount, granted);
+	else if (p->write.number != p->lost.number)
+		mu_ledger_returned(&p->ledger, p->write.amount, granted);
 	else
-		mu_ledger_drawn(&p->ledger, p->amount, granted);
+		p->ledger.granted = granted;
+	p->lost.number = 0;
 }
 
-/* A draw had no answer: the row tells later whether it took effect. */
+/* It had no answer: it may have taken effect, or may yet.  Tokens that may have
+ * been given back are not used again. */
 static void
-lose_draw(struct program *p)
+lose(struct program *p)
 {
-	p->lost_draw = p->draw;
-	p->lost_amount = p->amount;
+	if (p->write.returning && p->write.number != p->lost.number)
+		mu_ledger_returned(
+		    &p->ledger, p->write.amount, p->ledger.granted);
+	p->lost = p->write;
 	p->refused = MU_REFUSED_NOTHING;
 	mu_account_give_up_late(p);
 }
 
+/* What the row says once the write in progress has taken effect. */
+static uint64_t
+granted_after(const struct program *p)
+{
+	return p->write.returning ? p->ledger.granted - p->write.amount
+				  : p->ledger.granted + p->write.amount;
+}
+
 static void
-on_drawn(void *arg, const Mu__StoreResult *r)
+on_written(void *arg, const Mu__StoreResult *r)
 {
 	struct program *p = arg;
 
@@ -96,34 +101,22 @@
 	case MU__STORE_RESULT__STATUS__DONE:
 		p->ver = r->ver;
 		p->writer = p->a->conf.incarnation;
-		p->row_draw = p->draw;
-		p->lost_draw = 0;
-		wrote(p, p->returning ? p->ledger.granted - p->amount
-				      : p->ledger.granted + p->amount);
+		p->row_draw = p->write.number;
+		wrote(p, granted_after(p));
 		break;
 	case MU__STORE_RESULT__STATUS__CONFLICT:
 		adopt(p, r);
-		if (took_effect(p, p->draw)) {
-			p->lost_draw = 0;
+		if (took_effect(p, p->write.number))
 			wrote(p, p->ledger.granted);
-		} else {
-			find_lost(p);
-		}
+		p->lost.number = 0;
 		break;
 	default:
-		/* An attempt without an answer may still be applied: the next
-		 * draw meets that row as a conflict. */
-		mu_log(MU_LOG_WARN, "home", "draw_failed", "{s:s,s:i}",
-		    "program", p->id, "status", (int)r->status);
-		if (p->returning)
-			/* It may be given back yet: it is not used again. */
-			mu_ledger_returned(
-			    &p->ledger, p->amount, p->ledger.granted);
-		else
-			lose_draw(p);
+		mu_log(MU_LOG_WARN, "home", "draw_failed", "{s:s,s:i,s:b}",
+		    "program", p->id, "status", (int)r->status, "returning",
+		    p->write.returning);
+		lose(p);
 		break;
 	}
-	p->returning = false;
 	p->fresh = true;
 	mu_account_serve(p);
 }
@@ -136,12 +129,10 @@
 
 	p->drawing = false;
 	p->fresh = true;
-	if (r->status == MU__STORE_RESULT__STATUS__DONE) {
+	if (r->status == MU__STORE_RESULT__STATUS__DONE)
 		adopt(p, r);
-		find_lost(p);
-	} else {
+	else
 		mu_account_give_up(p);
-	}
 	mu_account_serve(p);
 }
 
@@ -177,7 +168,7 @@
 	row.released = p->ledger.released;
 	row.lent = p->ledger.lent;
 	row.writer = p->a->conf.incarnation;
-	row.draw = p->draw;
+	row.draw = p->write.number;
 	on.table = put.table = (char *)(uintptr_t)MU_ACCOUNT_TABLE;
 	on.part = put.part = (char *)(uintptr_t)mu_account_part(p);
 	on.key = put.key = p->id;
@@ -189,7 +180,23 @@
 	op.expected = ons;
 	op.put = puts;
 	mu_count(MU_M_BUDGET_DRAWS, 1);
-	mu_store_run(p->a->store, &op, deadline, on_drawn, p);
+	mu_store_run(p->a->store, &op, deadline, on_written, p);
+}
+
+/*
+ * Draws or gives back; a write without an answer goes first, as it was.  It has
+ * to be settled also when nobody waits: what it drew would be missed by daemons
+ * that see this one alive and wait for it to give back.
+ */
+static void
+start(struct program *p, uint64_t amount, bool returning, mu_us deadline)
+{
+	if (p->lost.number != 0)
+		p->write = p->lost;
+	else
+		p->write = (struct mu_account_write){
+		    ++p->last_write, amount, returning};
+	write_row(p, granted_after(p), deadline);
 }
 
 void
@@ -197,17 +204,7 @@
 {
 	mu_us limit = mu_loop_now(p->a->loop) + DRAW_LIMIT_US;
 
-	/* One without an answer is made again as it was: only one of the two
-	 * can take effect, and the row then shows its number. */
-	if (p->lost_draw != 0) {
-		amount = p->lost_amount;
-		p->draw = p->lost_draw;
-	} else {
-		p->draw = ++p->last_draw;
-	}
-	p->amount = amount;
-	write_row(
-	    p, p->ledger.granted + amount, limit < deadline ? limit : deadline);
+	start(p, amount, false, limit < deadline ? limit : deadline);
 }
 
 /* Gives back what is not used, when the program pauses. */
@@ -217,13 +214,10 @@
 	struct program *p = arg;
 	uint64_t amount = mu_ledger_spare(&p->ledger, p->a->leaving);
 
-	if (p->drawing || amount == 0 || !cds_list_empty(&p->holds))
+	if (p->drawing || !cds_list_empty(&p->holds) ||
+	    (amount == 0 && p->lost.number == 0))
 		return;
-	p->returning = true;
-	p->draw = ++p->last_draw;
-	p->amount = amount;
-	write_row(p, p->ledger.granted - amount,
-	    mu_loop_now(p->a->loop) + RETURN_LIMIT_US);
+	start(p, amount, true, mu_loop_now(p->a->loop) + RETURN_LIMIT_US);
 }
 
 void
--- a/test/test_account.c
+++ b/test/test_account.c
@@ -182,6 +182,43 @@
 	assert_int_equal(reserve(f, 0, "t3", 500, 1000), MU_BEGIN_OK);
 }
 
+/* Found by a hunt: a daemon drew by itself while the program's home was silent,
+ * without an answer, and was not asked again.  It held what it had drawn for as
+ * long as it lived, and others got 503 as it might have given it back. */
+static void
+test_draw_without_answer_is_given_back(void **state)
+{
+	struct fixture *f = *state;
+
+	f->other_alive = true;
+	f->mem->fault = MEM_LOST;
+	mu_guarantor_free(f->guarantor);
+	f->guarantor = NULL;
+	assert_int_equal(reserve(f, 0, "t1", 500, 300), MU_BEGIN_UNAVAILABLE);
+	f->mem->fault = MEM_WELL;
+	run_ms(f->loop, &f->clock, 2000);
+	assert_int_equal(reserve(f, 1, "t2", 500, 1000), MU_BEGIN_OK);
+}
+
+/* The same of a return: it is made until it has an answer. */
+static void
+test_return_without_answer_is_made_again(void **state)
+{
+	struct fixture *f = *state;
+
+	f->other_alive = true;
+	assert_int_equal(reserve(f, 0, "t1", 500, 1000), MU_BEGIN_OK);
+	f->mem->fault = MEM_SILENT;
+	settle(f, 0, "t1", 0);
+	run_ms(f->loop, &f->clock, 4000);
+	f->mem->fault = MEM_WELL;
+	run_ms(f->loop, &f->clock, 2000);
+	assert_int_equal(reserve(f, 1, "t2", 500, 1000), MU_BEGIN_OK);
+	settle(f, 1, "t2", MOST);
+	f->other_alive = false;
+	assert_int_equal(reserve(f, 0, "t3", 500, 1000), MU_BEGIN_EXHAUSTED);
+}
+
 /* Found on the same day: the asking daemon had given the home up and drew
  * itself, while the home kept a reservation that nobody would settle. */
 static void
@@ -414,6 +451,8 @@
 	    T(test_exact_to_the_last_turn),
 	    T(test_draw_without_answer_is_found_again),
 	    T(test_several_draws_without_answer),
+	    T(test_draw_without_answer_is_given_back),
+	    T(test_return_without_answer_is_made_again),
 	    T(test_abandoned_reservation_is_given_back),
 	    T(test_cancelled_while_it_waits),
 	    T(test_other_daemon_goes_on_after_a_death),
