Give up at once on a budget write that the store does not take

Since draws without an answer are made again, a write that the store refuses for good (INVALID: full, or no valid operation) was taken for one without an answer: its turn waited out its second while the write was sent again in a loop, and the pause timer went on with it.

Change: it counts as not made; those that wait are told at once.

Test: test_account test_draw_that_the_store_does_not_take fails without the change (the refusal comes late).

--- a/src/accountrow.c
+++ b/src/accountrow.c
@@ -70,14 +70,20 @@
 	p->lost.number = 0;
 }
 
-/* It had no answer: it may have taken effect, or may yet.  Tokens that may have
- * been given back are not used again. */
+/* Tokens that may have been given back, or cannot be, are not used again. */
 static void
-lose(struct program *p)
+forgo(struct program *p)
 {
 	if (p->write.returning && p->write.number != p->lost.number)
 		mu_ledger_returned(
 		    &p->ledger, p->write.amount, p->ledger.granted);
+}
+
+/* It had no answer: it may have taken effect, or may yet. */
+static void
+lose(struct program *p)
+{
+	forgo(p);
 	p->lost = p->write;
 	p->refused = MU_REFUSED_NOTHING;
 	mu_account_give_up_late(p);
@@ -114,7 +120,13 @@
 		mu_log(MU_LOG_WARN, "home", "draw_failed", "{s:s,s:i,s:b}",
 		    "program", p->id, "status", (int)r->status, "returning",
 		    p->write.returning);
-		lose(p);
+		if (r->status != MU__STORE_RESULT__STATUS__INVALID) {
+			lose(p);
+			break;
+		}
+		/* Made again, it would be refused again. */
+		forgo(p);
+		mu_account_give_up(p);
 		break;
 	}
 	p->fresh = true;
--- a/test/memstore.h
+++ b/test/memstore.h
@@ -19,7 +19,8 @@
 	MEM_BUSY, /* refuses, nothing done */
 	MEM_SILENT, /* nothing done, no answer */
 	MEM_LOST, /* done, no answer */
-	MEM_GONE /* history of changes dropped */
+	MEM_GONE, /* history of changes dropped */
+	MEM_INVALID /* does not take the operation, now or later */
 };
 
 struct mem_row {
@@ -255,6 +256,8 @@
 	a->result->ver = m->ver;
 	if (fault == MEM_BUSY)
 		a->result->status = MU__STORE_RESULT__STATUS__REFUSED;
+	if (fault == MEM_INVALID)
+		a->result->status = MU__STORE_RESULT__STATUS__INVALID;
 	if (fault == MEM_GONE)
 		a->result->status = MU__STORE_RESULT__STATUS__HISTORY_GONE;
 	if (fault == MEM_SILENT || fault == MEM_LOST) {
--- a/test/test_account.c
+++ b/test/test_account.c
@@ -235,6 +235,22 @@
 	assert_int_equal(reserve(f, 1, "t1c", 500, 1000), MU_BEGIN_OK);
 }
 
+/* The store is full, say: told at once, and it is not asked in a loop. */
+static void
+test_draw_that_the_store_does_not_take(void **state)
+{
+	struct fixture *f = *state;
+	mu_us began = mu_loop_now(f->loop);
+
+	f->mem->fault = MEM_INVALID;
+	assert_int_equal(reserve(f, 0, "t1", 500, 1000), MU_BEGIN_UNAVAILABLE);
+	assert_true(mu_loop_now(f->loop) - began < 100 * MU_US_PER_MS);
+	run_ms(f->loop, &f->clock, 2000);
+	assert_int_equal(f->mem->calls, 1);
+	f->mem->fault = MEM_WELL;
+	assert_int_equal(reserve(f, 0, "t2", 500, 1000), MU_BEGIN_OK);
+}
+
 static void
 test_cancelled_while_it_waits(void **state)
 {
@@ -454,6 +470,7 @@
 	    T(test_draw_without_answer_is_given_back),
 	    T(test_return_without_answer_is_made_again),
 	    T(test_abandoned_reservation_is_given_back),
+	    T(test_draw_that_the_store_does_not_take),
 	    T(test_cancelled_while_it_waits),
 	    T(test_other_daemon_goes_on_after_a_death),
 	    T(test_leaving_daemon_gives_back),
