Open sockets of the serving path through net.c

mesh.c and upstream.c had their own non-blocking connect, its result and, in mesh.c, the listening socket; net.c had all three. Reading IP:PORT into a socket address stood in net.c, mesh.c, upstream.c, inbound.c, web.c and twice in standin/: all call mu_net_addr now. on_link() has one way out.

Behaviour as before, but that TCP_USER_TIMEOUT of a connection to an endpoint is set just after its connect has begun.

--- a/src/inbound.c
+++ b/src/inbound.c
@@ -20,6 +20,7 @@
 
 #include "inbound.h"
 #include "log.h"
+#include "net.h"
 
 #define UNACKED_MS 3000 /* a caller that acknowledges nothing is gone */
 #define HEADER_MEMORY ((size_t)32 * 1024) /* of one connection */
@@ -388,23 +389,19 @@
 mu_in_open(struct mu_inbound **out, struct mu_loop *l,
     const struct mu_in_conf *conf, struct mu_error *e)
 {
-	struct sockaddr_in sin = {.sin_family = AF_INET};
+	struct sockaddr_in sin;
 	struct mu_inbound *in = calloc(1, sizeof(*in));
-	char ip[MU_ADDR_LEN];
-	uint16_t port;
 
 	if (in == NULL)
 		return mu_fail(
 		    e, MU_E_NOMEM, MU_OUTCOME_NOT_RUN, 0, "no memory");
 	in->loop = l;
 	in->conf = *conf;
-	if (mu_addr_parse(conf->listen, ip, &port) != 0 ||
-	    inet_pton(AF_INET, ip, &sin.sin_addr) != 1) {
+	if (mu_net_addr(conf->listen, &sin) != 0) {
 		free(in);
 		return mu_fail(e, MU_E_CONFIG_INVALID, MU_OUTCOME_NOT_RUN, 0,
 		    "%s: expected IP:PORT", conf->listen);
 	}
-	sin.sin_port = htons(port);
 	if (start(in, &sin) != 0) {
 		if (in->daemon != NULL)
 			MHD_stop_daemon(in->daemon);
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -7,7 +7,6 @@
  * on a link end when it does, so that their senders can go another way at
  * once.
  */
-#include <arpa/inet.h>
 #include <errno.h>
 #include <jansson.h>
 #include <netinet/in.h>
@@ -23,13 +22,13 @@
 #include "hmap.h"
 #include "log.h"
 #include "mesh.h"
+#include "net.h"
 
 #define QUEUE_MAX ((size_t)8 << 20) /* bytes that a peer may leave unread */
 #define READ_BYTES 16384
 #define DIAL_US (1 * MU_US_PER_S) /* between two attempts to one peer */
 #define CONNECT_US (500 * MU_US_PER_MS)
 #define PROBE_S 10 /* between probes of an idle link */
-#define BACKLOG 128
 /* To each other failure domain: for store calls that this one cannot make,
  * and for callers when it is all gone. */
 #define FAR_LINKS 3
@@ -299,26 +298,19 @@
 on_link(void *arg, uint32_t events)
 {
 	struct mu_mesh_link *l = mu_mesh_hold(arg);
-	socklen_t len = sizeof(int);
-	int err = 0;
 
-	if (l->connecting) {
-		(void)getsockopt(l->watch.fd, SOL_SOCKET, SO_ERROR, &err, &len);
-		if (err != 0)
-			goto close;
+	if (l->connecting && mu_net_connected(l->watch.fd) != 0) {
+		link_close(l);
+	} else if (l->connecting) {
 		l->connecting = false;
 		l->peer->connected = true;
 		set_up(l->mesh, l->peer);
 	}
-	if ((events & EPOLLOUT) != 0)
+	if (!l->closed && (events & EPOLLOUT) != 0)
 		flush(l);
 	if (!l->closed && (events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0)
 		read_link(l);
 	mu_mesh_release(l);
-	return;
-close:
-	link_close(l);
-	mu_mesh_release(l);
 }
 
 static struct mu_mesh_link *
@@ -355,35 +347,15 @@
 	return l;
 }
 
-static int
-socket_for(const char *addr, struct sockaddr_in *sin)
-{
-	char ip[MU_ADDR_LEN];
-	uint16_t port;
-
-	memset(sin, 0, sizeof(*sin));
-	sin->sin_family = AF_INET;
-	if (mu_addr_parse(addr, ip, &port) != 0 ||
-	    inet_pton(AF_INET, ip, &sin->sin_addr) != 1)
-		return -1;
-	sin->sin_port = htons(port);
-	return socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-}
-
 static void
 dial(struct mu_mesh *m, struct mu_peer *p)
 {
-	struct sockaddr_in sin;
-	int fd = socket_for(p->addr, &sin);
+	bool pending;
+	int fd;
 
 	p->dial_at = mu_loop_now(m->loop) + DIAL_US;
-	if (fd < 0)
-		return;
-	if (connect(fd, (struct sockaddr *)&sin, sizeof(sin)) != 0 &&
-	    errno != EINPROGRESS) {
-		(void)close(fd);
+	if (mu_net_connect(p->addr, &fd, &pending) != 0)
 		return;
-	}
 	p->link = link_new(m, fd, EPOLLOUT);
 	if (p->link == NULL)
 		return;
@@ -488,8 +460,6 @@
     struct mu_error *e)
 {
 	struct mu_mesh *m = calloc(1, sizeof(*m));
-	struct sockaddr_in sin;
-	int on = 1;
 
 	if (m == NULL)
 		return mu_fail(
@@ -501,18 +471,12 @@
 	strncpy(m->domain, conf->domain, sizeof(m->domain) - 1);
 	CDS_INIT_LIST_HEAD(&m->peers);
 	CDS_INIT_LIST_HEAD(&m->links);
-	m->listener.fd = socket_for(conf->listen, &sin);
 	m->listener.events = EPOLLIN;
 	m->listener.fn = on_accept;
 	m->listener.arg = m;
 	m->timer.fn = on_timer;
 	m->timer.arg = m;
-	if (m->listener.fd < 0)
-		goto fail;
-	(void)setsockopt(
-	    m->listener.fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-	if (bind(m->listener.fd, (struct sockaddr *)&sin, sizeof(sin)) != 0 ||
-	    listen(m->listener.fd, BACKLOG) != 0 ||
+	if (mu_net_listen(conf->listen, &m->listener.fd) != 0 ||
 	    mu_watch_add(l, &m->listener) != 0)
 		goto fail;
 	mu_timer_set(l, &m->timer, mu_loop_now(l));
--- a/src/net.c
+++ b/src/net.c
@@ -34,8 +34,8 @@
 	return mu_net_now() + (mu_us)ms * MU_US_PER_MS;
 }
 
-static int
-parse(const char *addr, struct sockaddr_in *sin)
+int
+mu_net_addr(const char *addr, struct sockaddr_in *sin)
 {
 	char ip[MU_ADDR_LEN];
 	uint16_t port;
@@ -56,7 +56,7 @@
 	int one = 1, rc;
 
 	*fd = -1;
-	rc = parse(addr, &sin);
+	rc = mu_net_addr(addr, &sin);
 	if (rc != 0)
 		return rc;
 	*fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -90,7 +90,7 @@
 	int one = 1, rc;
 
 	*fd = -1;
-	rc = parse(addr, &sin);
+	rc = mu_net_addr(addr, &sin);
 	if (rc != 0)
 		return rc;
 	*fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
--- a/src/net.h
+++ b/src/net.h
@@ -6,6 +6,10 @@
 
 #include "musher.h"
 
+struct sockaddr_in;
+
+/* Reads "IP:PORT"; 0 or MU_E_BAD_REQUEST. */
+int mu_net_addr(const char *addr, struct sockaddr_in *sin);
 /*
  * Starts a connect to "IP:PORT"; *fd is set also while it goes on, and
  * *pending tells that it does.  0, MU_E_BAD_REQUEST, MU_E_CONNECT (refused
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -14,7 +14,6 @@
  * lost.  So each pool learns for how long an idle connection can be trusted:
  * a loss halves that time, uses that went well raise it again.
  */
-#include <arpa/inet.h>
 #include <errno.h>
 #include <http_parser.h>
 #include <netinet/in.h>
@@ -28,6 +27,7 @@
 
 #include "buf.h"
 #include "metric.h"
+#include "net.h"
 #include "upstream.h"
 
 /* A first SYN and its answer; a lost SYN is resent only after 1 s. */
@@ -397,11 +397,7 @@
 static bool
 connected(struct mu_up_exchange *x)
 {
-	socklen_t len = sizeof(int);
-	int err = 0;
-
-	if (getsockopt(x->watch.fd, SOL_SOCKET, SO_ERROR, &err, &len) != 0 ||
-	    err != 0) {
+	if (mu_net_connected(x->watch.fd) != 0) {
 		fail(x, MU_UP_CONNECT);
 		return false;
 	}
@@ -426,26 +422,13 @@
 static int
 open_socket(const char *addr)
 {
-	struct sockaddr_in sin = {.sin_family = AF_INET};
-	int fd, on = 1, unacked = UNACKED_MS;
-	char ip[MU_ADDR_LEN];
-	uint16_t port;
+	int fd, unacked = UNACKED_MS;
+	bool pending;
 
-	if (mu_addr_parse(addr, ip, &port) != 0 ||
-	    inet_pton(AF_INET, ip, &sin.sin_addr) != 1)
-		return -1;
-	sin.sin_port = htons(port);
-	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (fd < 0)
+	if (mu_net_connect(addr, &fd, &pending) != 0)
 		return -1;
-	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	(void)setsockopt(
 	    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked, sizeof(unacked));
-	if (connect(fd, (struct sockaddr *)&sin, sizeof(sin)) != 0 &&
-	    errno != EINPROGRESS) {
-		(void)close(fd);
-		return -1;
-	}
 	return fd;
 }
 
--- a/src/web.c
+++ b/src/web.c
@@ -16,6 +16,7 @@
 #include <sys/socket.h>
 
 #include "board.h"
+#include "net.h"
 #include "web.h"
 
 #define REQUEST_TIMEOUT_S 15 /* to send a whole request */
@@ -286,28 +287,25 @@
     struct mu_web **out, const struct mu_web_conf *conf, struct mu_error *e)
 {
 	struct mu_web *w = calloc(1, sizeof(*w));
-	struct sockaddr_in sin = {.sin_family = AF_INET};
-	char ip[MU_ADDR_LEN];
-	uint16_t port;
+	struct sockaddr_in sin;
 
 	if (w == NULL)
 		return mu_fail(
 		    e, MU_E_NOMEM, MU_OUTCOME_NOT_RUN, 0, "no memory");
-	if (mu_addr_parse(conf->listen, ip, &port) != 0 ||
-	    inet_pton(AF_INET, ip, &sin.sin_addr) != 1) {
+	if (mu_net_addr(conf->listen, &sin) != 0) {
 		free(w);
 		return mu_fail(e, MU_E_CONFIG_INVALID, MU_OUTCOME_NOT_RUN, 0,
 		    "%s: expected IP:PORT", conf->listen);
 	}
-	sin.sin_port = htons(port);
 	w->conf = *conf;
 	w->quiesced = MHD_INVALID_SOCKET;
 	w->daemon = MHD_start_daemon(MHD_USE_THREAD_PER_CONNECTION |
 					 MHD_USE_INTERNAL_POLLING_THREAD |
 					 MHD_USE_POLL | MHD_USE_ITC,
-	    port, NULL, NULL, on_request, w, MHD_OPTION_SOCK_ADDR,
-	    (struct sockaddr *)&sin, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
-	    w, MHD_OPTION_NOTIFY_CONNECTION, on_connection, w,
+	    ntohs(sin.sin_port), NULL, NULL, on_request, w,
+	    MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&sin,
+	    MHD_OPTION_NOTIFY_COMPLETED, on_completed, w,
+	    MHD_OPTION_NOTIFY_CONNECTION, on_connection, w,
 	    MHD_OPTION_CONNECTION_LIMIT, (unsigned)conf->max_connections,
 	    MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)REQUEST_TIMEOUT_S,
 	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)HEADER_BYTES,
--- a/standin/serve.c
+++ b/standin/serve.c
@@ -18,6 +18,7 @@
 #include <time.h>
 #include <unistd.h>
 
+#include "net.h"
 #include "serve_private.h"
 
 #define MAX_BODY ((size_t)64 << 20) /* bytes */
@@ -316,18 +317,14 @@
 static struct MHD_Daemon *
 start(struct serve *s, const char *addr, bool main_port)
 {
-	struct sockaddr_in sin = {.sin_family = AF_INET};
-	char ip[MU_ADDR_LEN];
-	uint16_t port;
+	struct sockaddr_in sin;
 
-	if (mu_addr_parse(addr, ip, &port) != 0)
+	if (mu_net_addr(addr, &sin) != 0)
 		return NULL;
-	sin.sin_port = htons(port);
-	inet_pton(AF_INET, ip, &sin.sin_addr);
 	return MHD_start_daemon(MHD_USE_THREAD_PER_CONNECTION |
 				    MHD_USE_INTERNAL_POLLING_THREAD |
 				    MHD_USE_POLL,
-	    port, main_port ? conn_accept : NULL, s,
+	    ntohs(sin.sin_port), main_port ? conn_accept : NULL, s,
 	    main_port ? on_main : on_fault_port, s, MHD_OPTION_SOCK_ADDR,
 	    (struct sockaddr *)&sin, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
 	    MHD_OPTION_CONNECTION_LIMIT, (unsigned)CONNECTIONS,
--- a/standin/wire.c
+++ b/standin/wire.c
@@ -17,6 +17,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "net.h"
 #include "serve.h"
 
 #define CHUNK 16384 /* bytes */
@@ -50,21 +51,6 @@
 
 static struct serve server;
 
-static int
-parse_addr(const char *addr, struct sockaddr_in *sin)
-{
-	char ip[MU_ADDR_LEN];
-	uint16_t port;
-
-	memset(sin, 0, sizeof(*sin));
-	if (mu_addr_parse(addr, ip, &port) != 0)
-		return -1;
-	sin->sin_family = AF_INET;
-	sin->sin_port = htons(port);
-	inet_pton(AF_INET, ip, &sin->sin_addr);
-	return 0;
-}
-
 /* Opens the listening socket; -1 on failure. */
 static int
 listener_open(void)
@@ -72,7 +58,7 @@
 	struct sockaddr_in sin;
 	int fd, one = 1;
 
-	if (parse_addr(server.listen, &sin) != 0)
+	if (mu_net_addr(server.listen, &sin) != 0)
 		return -1;
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (fd == -1)
@@ -91,7 +77,7 @@
 	struct sockaddr_in sin;
 	int fd;
 
-	if (parse_addr(addr, &sin) != 0)
+	if (mu_net_addr(addr, &sin) != 0)
 		return -1;
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	if (fd == -1)
