Choose links by domain with weights computed once

Each row of the table of daemons made a daemon rank all its peers again, and each rank hashed all of their names: cubic in the fleet at the first reading. The weight is kept with the peer, and a row ranks the peers of its own domain only, whose order it can change. A link that is no longer wanted is closed at the next row of its domain, not of any.

What nothing read goes: the configuration's version in heartbeats and peers, the count of a group's endpoints.

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1953,7 +1953,7 @@
   (ProtobufCMessageInit) mu__endpoint_use__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mu__beat__field_descriptors[9] =
+static const ProtobufCFieldDescriptor mu__beat__field_descriptors[8] =
 {
   {
     "host",
@@ -2003,18 +2003,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "config_version",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Mu__Beat, config_version),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "store_ok",
     6,
@@ -2065,20 +2053,20 @@
   },
 };
 static const unsigned mu__beat__field_indices_by_name[] = {
-  4,   /* field[4] = config_version */
   0,   /* field[0] = host */
   1,   /* field[1] = incarnation */
   2,   /* field[2] = leaving */
-  8,   /* field[8] = quarantined */
+  7,   /* field[7] = quarantined */
   3,   /* field[3] = ready */
-  5,   /* field[5] = store_ok */
-  7,   /* field[7] = suspected */
-  6,   /* field[6] = uses */
+  4,   /* field[4] = store_ok */
+  6,   /* field[6] = suspected */
+  5,   /* field[5] = uses */
 };
-static const ProtobufCIntRange mu__beat__number_ranges[1 + 1] =
+static const ProtobufCIntRange mu__beat__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 6, 4 },
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor mu__beat__descriptor =
 {
@@ -2088,10 +2076,10 @@
   "Mu__Beat",
   "mu",
   sizeof(Mu__Beat),
-  9,
+  8,
   mu__beat__field_descriptors,
   mu__beat__field_indices_by_name,
-  1,  mu__beat__number_ranges,
+  2,  mu__beat__number_ranges,
   (ProtobufCMessageInit) mu__beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -331,7 +331,6 @@
    * knows a configuration and serves
    */
   protobuf_c_boolean ready;
-  uint64_t config_version;
   /*
    * the store answers the sender
    */
@@ -354,7 +353,7 @@
 };
 #define MU__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mu__beat__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -214,7 +214,6 @@
 	p->leaving = p->beat->leaving;
 	p->ready = p->beat->ready;
 	p->store_ok = p->beat->store_ok;
-	p->config_version = p->beat->config_version;
 	set_up(m, p);
 	if (m->hooks.heard != NULL)
 		m->hooks.heard(m->hooks.arg, p, before);
@@ -363,31 +362,32 @@
 	p->link->connecting = true;
 }
 
-/* Rank of p among the peers of its domain for this daemon; 0 is the first. */
-static unsigned
-rank_of(struct mu_mesh *m, const struct mu_peer *p)
+/* Whether p is one of the few of its domain to which this daemon keeps links.
+ */
+static bool
+is_chosen(struct mu_mesh *m, const struct mu_peer *p)
 {
-	uint64_t w = mu_hash(m->host) ^ mu_hash(p->host);
 	struct mu_peer *q;
 	unsigned rank = 0;
 
 	cds_list_for_each_entry (q, &m->peers, node)
-		if (q != p && strcmp(q->domain, p->domain) == 0 &&
-		    (mu_hash(m->host) ^ mu_hash(q->host)) > w)
+		if (q->weight > p->weight && strcmp(q->domain, p->domain) == 0)
 			rank++;
-	return rank;
+	return rank < FAR_LINKS;
 }
 
-/* All peers of this domain, a few of each other one, and those that keep a
- * link to this daemon, so that both hear each other. */
+/* Of a domain: all peers of this daemon's own, a few of each other one, and
+ * those that keep a link to this daemon, so that both hear each other. */
 static void
-choose_links(struct mu_mesh *m)
+choose_links(struct mu_mesh *m, const char *domain)
 {
+	bool own = strcmp(domain, m->domain) == 0;
 	struct mu_peer *p;
 
 	cds_list_for_each_entry (p, &m->peers, node) {
-		p->wanted = p->calls || strcmp(p->domain, m->domain) == 0 ||
-			    rank_of(m, p) < FAR_LINKS;
+		if (strcmp(p->domain, domain) != 0)
+			continue;
+		p->wanted = own || p->calls || is_chosen(m, p);
 		if (!p->wanted && p->link != NULL)
 			link_close(p->link);
 	}
@@ -531,6 +531,7 @@
 		if (p == NULL)
 			return;
 		copy_text(p->host, sizeof(p->host), row->host);
+		p->weight = mu_hash(m->host) ^ mu_hash(p->host);
 		cds_list_add_tail(&p->node, &m->peers);
 	}
 	if (strcmp(p->addr, row->mesh_addr) != 0 && p->link != NULL)
@@ -540,7 +541,7 @@
 	copy_text(p->addr, sizeof(p->addr), row->mesh_addr);
 	copy_text(p->caller_addr, sizeof(p->caller_addr), row->caller_addr);
 	copy_text(p->domain, sizeof(p->domain), row->domain);
-	choose_links(m);
+	choose_links(m, p->domain);
 	if (p->wanted && p->link == NULL && p->dial_at <= mu_loop_now(m->loop))
 		dial(m, p);
 }
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -24,6 +24,7 @@
 	char addr[MU_ADDR_LEN]; /* mesh port */
 	char caller_addr[MU_ADDR_LEN];
 	char domain[MU_NAME_LEN];
+	uint64_t weight; /* among its domain's, for this daemon's links */
 	uint64_t incarnation;
 	mu_us heard; /* last heartbeat; 0: none */
 	bool connected;
@@ -33,7 +34,6 @@
 	bool store_ok;
 	bool wanted; /* this daemon keeps a link to it */
 	bool calls; /* it keeps a link to this daemon */
-	uint64_t config_version;
 	Mu__Beat *beat; /* the last one; NULL: none */
 	struct mu_mesh_link *link; /* dialled by this daemon */
 	mu_us dial_at;
--- a/src/serve.c
+++ b/src/serve.c
@@ -212,7 +212,6 @@
 
 	b->leaving = s->leaving;
 	b->ready = mu_serve_ready(s);
-	b->config_version = s->routes != NULL ? s->routes->version : 0;
 	b->store_ok = mu_store_ok(s->store);
 	fill_uses(s, b);
 	fill_quarantine(s, b);
--- a/src/targets.c
+++ b/src/targets.c
@@ -86,7 +86,6 @@
 	    x->info.service, "why", why, "running", (int)x->sent);
 	mu_hmap_del(&t->by_name, &x->node);
 	cds_list_del(&x->in_group);
-	x->group->ntargets--;
 	x->listed = false;
 	mu_target_release(t, x);
 }
@@ -116,7 +115,6 @@
 	mu_health_init(&x->health);
 	mu_hmap_add(&t->by_name, &x->node);
 	cds_list_add_tail(&x->in_group, &x->group->targets);
-	x->group->ntargets++;
 	mu_log(MU_LOG_INFO, "targets", "endpoint_listed", "{s:s,s:s,s:s,s:b}",
 	    "endpoint", info->name, "addr", info->addr, "service",
 	    info->service, "leaving", info->leaving);
--- a/src/targets.h
+++ b/src/targets.h
@@ -59,7 +59,6 @@
 	struct mu_hnode node; /* by the service's name */
 	char name[MU_NAME_LEN];
 	struct cds_list_head targets;
-	uint32_t ntargets;
 	struct cds_list_head waiting; /* calls, see call.c */
 	uint32_t nwaiting;
 	mu_us call; /* smoothed time of a call */
