Give loans a module of their own

The longest key of the store stood in three files and is in store.h now; rendezvous hashing moves to hmap.c, as both use it.

--- a/src/account.h
+++ b/src/account.h
@@ -21,8 +21,6 @@
 
 typedef void (*mu_begin_fn)(void *arg, enum mu_begin_status status);
 
-typedef void (*mu_loan_fn)(void *arg, const struct mu_loan *loan);
-
 struct mu_accounts_conf {
 	uint64_t incarnation; /* of this daemon */
 	void *arg;
--- a/src/account_private.h
+++ b/src/account_private.h
@@ -14,7 +14,6 @@
 #define MU_ACCOUNT_TABLE "budgets"
 #define MU_ACCOUNT_PARTS \
 	16 /* the platform runs 200 writes a second in a part */
-#define MU_ACCOUNT_KEY 200 /* bytes of the longest key of the store */
 #define MU_ACCOUNT_PLACES \
 	16 /* lines of one program whose caches are remembered */
 #define MU_ACCOUNT_PART 32 /* bytes of a prompt part's name */
@@ -42,7 +41,7 @@
 struct program {
 	struct mu_hnode node;
 	struct mu_accounts *a;
-	char id[MU_ACCOUNT_KEY + 1];
+	char id[MU_STORE_KEY + 1];
 	struct mu_ledger ledger;
 	uint64_t ver; /* of the row; 0: not known to exist */
 	uint64_t last_write; /* number of the newest one */
@@ -67,7 +66,7 @@
 /* A turn that waits for its reservation or has it. */
 struct hold {
 	struct cds_list_head node;
-	char turn[MU_ACCOUNT_KEY + 1];
+	char turn[MU_STORE_KEY + 1];
 	uint64_t most;
 	mu_us deadline;
 	mu_begin_fn fn;
--- a/src/guarantor.c
+++ b/src/guarantor.c
@@ -12,16 +12,16 @@
 #include "guarantor.h"
 #include "hmap.h"
 #include "ledger.h"
+#include "store.h"
 
 /* As long as a program's row stays after its last turn (account.c). */
 #define MEMORY_US (180 * MU_US_PER_S)
 #define SWEEP_US (10 * MU_US_PER_S)
-#define KEY_BYTES 200 /* longest key of the store */
 
 struct borrower {
 	struct mu_hnode node;
 	struct cds_list_head all;
-	char program[KEY_BYTES + 1];
+	char program[MU_STORE_KEY + 1];
 	uint64_t lent;
 	bool released;
 	mu_us used_at;
--- a/src/guarantor.h
+++ b/src/guarantor.h
@@ -24,6 +24,8 @@
 	uint64_t lent; /* to all daemons, this loan included */
 };
 
+typedef void (*mu_loan_fn)(void *arg, const struct mu_loan *loan);
+
 struct mu_guarantor *mu_guarantor_new(struct mu_loop *l);
 void mu_guarantor_free(struct mu_guarantor *g);
 /* The fleet has no past: there is nothing that was lent before. */
--- a/src/hmap.c
+++ b/src/hmap.c
@@ -15,6 +15,17 @@
 	return XXH3_64bits(s, strlen(s));
 }
 
+uint64_t
+mu_rendezvous(const char *host, const char *key)
+{
+	uint64_t z = mu_hash(host) ^ (mu_hash(key) * 0x9e3779b97f4a7c15ULL);
+
+	/* Finalizer of splitmix64: all bits of both hashes count. */
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
+	z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
+	return z ^ (z >> 31);
+}
+
 int
 mu_hmap_init(struct mu_hmap *m)
 {
--- a/src/hmap.h
+++ b/src/hmap.h
@@ -19,6 +19,8 @@
 };
 
 uint64_t mu_hash(const char *s);
+/* Rendezvous hashing: weight of a host for a key; the highest wins. */
+uint64_t mu_rendezvous(const char *host, const char *key);
 /* Returns 0 or MU_E_NOMEM. */
 int mu_hmap_init(struct mu_hmap *m);
 void mu_hmap_clear(struct mu_hmap *m); /* frees the buckets, not the nodes */
--- a/src/home.c
+++ b/src/home.c
@@ -15,22 +15,19 @@
 
 #include "hmap.h"
 #include "home.h"
+#include "loans.h"
 #include "log.h"
 
 /* Some draws of a slow store; that the home is gone is told by its link. */
 #define HOME_WAIT_US (1 * MU_US_PER_S)
-/* A link that is dialled first, and the way there and back. */
-#define LOAN_WAIT_US (300 * MU_US_PER_MS)
 /* Records of other daemons' turns; longer than any pause. */
 #define KEEP_US (90 * MU_US_PER_S)
-#define KEY_BYTES 200 /* longest key of the store */
 
 struct mu_home {
 	struct mu_loop *loop;
 	struct mu_mesh *mesh;
 	struct mu_history *history;
 	struct mu_accounts *accounts;
-	struct mu_guarantor *guarantor;
 	struct mu_home_conf conf;
 };
 
@@ -38,25 +35,14 @@
 struct begin {
 	struct mu_home *h;
 	struct mu_begin b; /* its strings are only valid at the start */
-	char program[KEY_BYTES + 1];
-	char turn[KEY_BYTES + 1];
-	char previous[KEY_BYTES + 1];
+	char program[MU_STORE_KEY + 1];
+	char turn[MU_STORE_KEY + 1];
+	char previous[MU_STORE_KEY + 1];
 	struct mu_grant *grant;
 	mu_begin_fn fn;
 	void *arg;
 };
 
-uint64_t
-mu_home_weight(const char *host, const char *key)
-{
-	uint64_t z = mu_hash(host) ^ (mu_hash(key) * 0x9e3779b97f4a7c15ULL);
-
-	/* Finalizer of splitmix64: all bits of both hashes count. */
-	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
-	z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
-	return z ^ (z >> 31);
-}
-
 /* Whether a daemon of this incarnation is up. */
 static bool
 peer_alive(void *arg, uint64_t incarnation)
@@ -70,107 +56,13 @@
 	return false;
 }
 
-/* Loans from the budgets' guaranteed parts. */
-
-/* The guarantor of a program, whether it is up or not; NULL: this daemon. */
-static struct mu_peer *
-guarantor_of(struct mu_home *h, const char *program)
-{
-	uint64_t best = mu_home_weight(h->conf.host, program), w;
-	struct mu_peer *p, *top = NULL;
-
-	cds_list_for_each_entry (p, mu_mesh_peers(h->mesh), node) {
-		w = mu_home_weight(p->host, program);
-		if (w > best) {
-			best = w;
-			top = p;
-		}
-	}
-	return top;
-}
-
-static struct mu_loan
-lend(struct mu_home *h, const struct mu_loan_request *q)
-{
-	static const struct mu_loan none;
-
-	/* Daemons that know of other peers may take another for it. */
-	if (guarantor_of(h, q->program) != NULL)
-		return none;
-	return q->amount > 0 ? mu_guarantor_lend(h->guarantor, q)
-			     : mu_guarantor_release(h->guarantor, q->program);
-}
-
-struct loan {
-	mu_loan_fn done;
-	void *arg;
-};
-
-static void
-on_guaranteed(void *arg, const Mu__Frame *f)
-{
-	struct loan *q = arg;
-	struct mu_loan loan = {false, 0};
-
-	if (f != NULL)
-		loan =
-		    (struct mu_loan){f->guaranteed->given, f->guaranteed->lent};
-	q->done(q->arg, &loan);
-	free(q);
-}
-
 static void
 ask_guarantor(
-    void *arg, const struct mu_loan_request *r, mu_loan_fn done, void *done_arg)
+    void *arg, const struct mu_loan_request *q, mu_loan_fn done, void *done_arg)
 {
 	struct mu_home *h = arg;
-	struct mu_peer *p = guarantor_of(h, r->program);
-	mu_us until = mu_loop_now(h->loop) + LOAN_WAIT_US;
-	Mu__Frame f = MU__FRAME__INIT;
-	Mu__Guarantee g = MU__GUARANTEE__INIT;
-	struct mu_loan loan = {false, 0};
-	struct loan *q;
 
-	if (p == NULL) {
-		loan = lend(h, r);
-		done(done_arg, &loan);
-		return;
-	}
-	q = calloc(1, sizeof(*q));
-	if (q == NULL)
-		abort();
-	q->done = done;
-	q->arg = done_arg;
-	g.program = (char *)(uintptr_t)r->program;
-	g.budget = r->budget;
-	g.most = r->most;
-	g.amount = r->amount;
-	f.body_case = MU__FRAME__BODY_GUARANTEE;
-	f.guarantee = &g;
-	mu_mesh_reach(h->mesh, p);
-	if (mu_mesh_ask(h->mesh, p, &f,
-		until < r->deadline ? until : r->deadline, on_guaranteed, q))
-		return;
-	free(q);
-	done(done_arg, &loan);
-}
-
-void
-mu_home_on_guarantee(
-    struct mu_home *h, struct mu_mesh_link *from, const Mu__Guarantee *q)
-{
-	struct mu_loan_request r = {
-	    q->program, q->budget, q->most, q->amount, MU_US_NEVER};
-	struct mu_loan loan = lend(h, &r);
-	Mu__Frame f = MU__FRAME__INIT;
-	Mu__Guaranteed g = MU__GUARANTEED__INIT;
-
-	g.id = q->id;
-	g.given = loan.given;
-	g.lent = loan.lent;
-	f.body_case = MU__FRAME__BODY_GUARANTEED;
-	f.guaranteed = &g;
-	(void)mu_mesh_reply(from, &f);
+	mu_loans_ask(h->conf.loans, q, done, done_arg);
 }
 
 struct mu_home *
@@ -189,9 +81,8 @@
 	h->history = history;
 	h->conf = *conf;
 	h->accounts = mu_accounts_new(l, s, reaper, &ac);
-	h->guarantor = mu_guarantor_new(l);
-	if (h->accounts == NULL || h->guarantor == NULL) {
-		mu_home_free(h);
+	if (h->accounts == NULL) {
+		free(h);
 		return NULL;
 	}
 	return h;
@@ -203,16 +94,9 @@
 	if (h == NULL)
 		return;
 	mu_accounts_free(h->accounts);
-	mu_guarantor_free(h->guarantor);
 	free(h);
 }
 
-void
-mu_home_trust(struct mu_home *h)
-{
-	mu_guarantor_trust(h->guarantor);
-}
-
 void
 mu_home_leave(struct mu_home *h)
 {
@@ -410,14 +294,14 @@
 static struct mu_peer *
 home_of(struct mu_home *h, const char *program)
 {
-	uint64_t best = mu_home_weight(h->conf.host, program), w;
+	uint64_t best = mu_rendezvous(h->conf.host, program), w;
 	struct mu_peer *p, *home = NULL;
 
 	cds_list_for_each_entry (p, mu_mesh_peers(h->mesh), node) {
 		if (!p->up || p->leaving ||
 		    strcmp(p->domain, h->conf.domain) != 0)
 			continue;
-		w = mu_home_weight(p->host, program);
+		w = mu_rendezvous(p->host, program);
 		if (w > best) {
 			best = w;
 			home = p;
@@ -488,9 +372,9 @@
 	struct mu_home *h;
 	struct mu_mesh_link *from;
 	uint64_t id;
-	char program[KEY_BYTES + 1];
-	char turn[KEY_BYTES + 1];
-	char previous[KEY_BYTES + 1];
+	char program[MU_STORE_KEY + 1];
+	char turn[MU_STORE_KEY + 1];
+	char previous[MU_STORE_KEY + 1];
 	bool need_history;
 	struct mu_cached cached;
 };
--- a/src/home.h
+++ b/src/home.h
@@ -14,6 +14,7 @@
 #include "mesh.h"
 
 struct mu_home;
+struct mu_loans;
 
 struct mu_begin {
 	const char *program; /* empty: no budget */
@@ -51,6 +52,7 @@
 	const char *host;
 	const char *domain;
 	uint64_t incarnation;
+	struct mu_loans *loans;
 };
 
 struct mu_home *
@@ -74,12 +76,5 @@
 void mu_home_on_begin(
     struct mu_home *h, struct mu_mesh_link *from, const Mu__Begin *b);
 void mu_home_on_settle(struct mu_home *h, const Mu__Settle *s);
-void mu_home_on_guarantee(
-    struct mu_home *h, struct mu_mesh_link *from, const Mu__Guarantee *q);
-/* The fleet has no past: nothing was lent from budgets before. */
-void mu_home_trust(struct mu_home *h);
-
-/* Rendezvous hashing: weight of a host for a key; the highest wins. */
-uint64_t mu_home_weight(const char *host, const char *key);
 
 #endif
--- /dev/null
+++ b/src/loans.c
@@ -0,0 +1,150 @@
+/*
+ * loans.c -- asks programs' guarantors, and answers as one.
+ *
+ * A daemon has no links to most of the fleet: one to a guarantor is dialled
+ * when it is asked, which only an outage of the store brings about.
+ */
+#include <stdlib.h>
+
+#include "hmap.h"
+#include "loans.h"
+
+/* A link that is dialled first, and the way there and back. */
+#define LOAN_WAIT_US (300 * MU_US_PER_MS)
+
+struct mu_loans {
+	struct mu_loop *loop;
+	struct mu_mesh *mesh;
+	const char *host;
+	struct mu_guarantor *guarantor;
+};
+
+struct mu_loans *
+mu_loans_new(struct mu_loop *l, struct mu_mesh *m, const char *host)
+{
+	struct mu_loans *x = calloc(1, sizeof(*x));
+
+	if (x == NULL || (x->guarantor = mu_guarantor_new(l)) == NULL) {
+		free(x);
+		return NULL;
+	}
+	x->loop = l;
+	x->mesh = m;
+	x->host = host;
+	return x;
+}
+
+void
+mu_loans_free(struct mu_loans *x)
+{
+	if (x == NULL)
+		return;
+	mu_guarantor_free(x->guarantor);
+	free(x);
+}
+
+void
+mu_loans_trust(struct mu_loans *x)
+{
+	mu_guarantor_trust(x->guarantor);
+}
+
+/* The guarantor of a program, whether it is up or not; NULL: this daemon. */
+static struct mu_peer *
+guarantor_of(struct mu_loans *x, const char *program)
+{
+	uint64_t best = mu_rendezvous(x->host, program), w;
+	struct mu_peer *p, *top = NULL;
+
+	cds_list_for_each_entry (p, mu_mesh_peers(x->mesh), node) {
+		w = mu_rendezvous(p->host, program);
+		if (w > best) {
+			best = w;
+			top = p;
+		}
+	}
+	return top;
+}
+
+static struct mu_loan
+lend(struct mu_loans *x, const struct mu_loan_request *q)
+{
+	static const struct mu_loan none;
+
+	/* Daemons that know of other peers may take another for it. */
+	if (guarantor_of(x, q->program) != NULL)
+		return none;
+	return q->amount > 0 ? mu_guarantor_lend(x->guarantor, q)
+			     : mu_guarantor_release(x->guarantor, q->program);
+}
+
+struct loan {
+	mu_loan_fn done;
+	void *arg;
+};
+
+static void
+on_guaranteed(void *arg, const Mu__Frame *f)
+{
+	struct loan *q = arg;
+	struct mu_loan loan = {false, 0};
+
+	if (f != NULL)
+		loan =
+		    (struct mu_loan){f->guaranteed->given, f->guaranteed->lent};
+	q->done(q->arg, &loan);
+	free(q);
+}
+
+void
+mu_loans_ask(struct mu_loans *x, const struct mu_loan_request *r,
+    mu_loan_fn done, void *arg)
+{
+	struct mu_peer *p = guarantor_of(x, r->program);
+	mu_us until = mu_loop_now(x->loop) + LOAN_WAIT_US;
+	Mu__Frame f = MU__FRAME__INIT;
+	Mu__Guarantee g = MU__GUARANTEE__INIT;
+	struct mu_loan loan = {false, 0};
+	struct loan *q;
+
+	if (p == NULL) {
+		loan = lend(x, r);
+		done(arg, &loan);
+		return;
+	}
+	q = calloc(1, sizeof(*q));
+	if (q == NULL)
+		abort();
+	q->done = done;
+	q->arg = arg;
+	g.program = (char *)(uintptr_t)r->program;
+	g.budget = r->budget;
+	g.most = r->most;
+	g.amount = r->amount;
+	f.body_case = MU__FRAME__BODY_GUARANTEE;
+	f.guarantee = &g;
+	mu_mesh_reach(x->mesh, p);
+	if (mu_mesh_ask(x->mesh, p, &f,
+		until < r->deadline ? until : r->deadline, on_guaranteed, q))
+		return;
+	free(q);
+	done(arg, &loan);
+}
+
+void
+mu_loans_on_request(
+    struct mu_loans *x, struct mu_mesh_link *from, const Mu__Guarantee *q)
+{
+	struct mu_loan_request r = {
+	    q->program, q->budget, q->most, q->amount, MU_US_NEVER};
+	struct mu_loan loan = lend(x, &r);
+	Mu__Frame f = MU__FRAME__INIT;
+	Mu__Guaranteed g = MU__GUARANTEED__INIT;
+
+	g.id = q->id;
+	g.given = loan.given;
+	g.lent = loan.lent;
+	f.body_case = MU__FRAME__BODY_GUARANTEED;
+	f.guaranteed = &g;
+	(void)mu_mesh_reply(from, &f);
+}
--- a/src/serve.c
+++ b/src/serve.c
@@ -11,6 +11,7 @@
 #include <string.h>
 
 #include "call.h"
+#include "loans.h"
 #include "log.h"
 #include "metric.h"
 #include "serve.h"
@@ -155,7 +156,7 @@
 	struct mu_serve *s = arg;
 
 	if (founder)
-		mu_home_trust(s->home);
+		mu_loans_trust(s->loans);
 	mu_timer_set(s->loop, &s->announce, mu_loop_now(s->loop));
 }
 
@@ -384,7 +385,7 @@
 		relay_for(s, from, f->relay);
 		break;
 	case MU__FRAME__BODY_GUARANTEE:
-		mu_home_on_guarantee(s->home, from, f->guarantee);
+		mu_loans_on_request(s->loans, from, f->guarantee);
 		break;
 	default:
 		break;
@@ -486,7 +487,7 @@
 	struct mu_mesh_hooks hooks = {
 	    s, fill_beat, on_heard, on_peer_changed, on_request};
 	struct mu_home_conf hc = {
-	    s->conf.host, s->conf.domain, s->conf.incarnation};
+	    s->conf.host, s->conf.domain, s->conf.incarnation, NULL};
 	struct mu_store_relay relay = {s, relay_available, relay_run};
 	struct mu_founding_conf fc = {
 	    DAEMON_TABLE, s->conf.host, s->conf.incarnation, s, on_founding};
@@ -505,12 +506,13 @@
 	mu_store_set_relay(s->store, &relay);
 	s->reaper = mu_reaper_new(l, s->store);
 	s->history = mu_history_new(l, s->store, s->reaper, HISTORY_BYTES);
+	s->loans = hc.loans = mu_loans_new(l, s->mesh, s->conf.host);
 	s->home = mu_home_new(l, s->store, s->reaper, s->mesh, s->history, &hc);
 	s->founding = mu_founding_new(l, s->store, &fc);
 	s->announce.fn = announce;
 	s->announce.arg = s;
-	if (s->reaper == NULL || s->history == NULL || s->home == NULL ||
-	    s->founding == NULL || !open_follows(s))
+	if (s->reaper == NULL || s->history == NULL || s->loans == NULL ||
+	    s->home == NULL || s->founding == NULL || !open_follows(s))
 		goto nomem;
 	s->stats.fn = on_stats;
 	s->stats.arg = s;
@@ -542,6 +544,7 @@
 	mu_timer_clear(s->loop, &s->announce);
 	mu_timer_clear(s->loop, &s->stats);
 	mu_home_free(s->home);
+	mu_loans_free(s->loans);
 	mu_history_free(s->history);
 	mu_reaper_free(s->reaper);
 	mu_targets_clear(&s->targets);
--- a/src/serve.h
+++ b/src/serve.h
@@ -62,6 +62,7 @@
 	struct mu_mesh *mesh;
 	struct mu_reaper *reaper;
 	struct mu_history *history;
+	struct mu_loans *loans;
 	struct mu_home *home;
 	struct mu_founding *founding;
 	struct mu_targets targets;
--- a/src/store.h
+++ b/src/store.h
@@ -12,6 +12,8 @@
 #include "loop.h"
 #include "peer.pb-c.h"
 
+#define MU_STORE_KEY 200 /* bytes of the longest key */
+
 typedef void (*mu_store_fn)(void *arg, const Mu__StoreResult *r);
 
 /* Runs one attempt and calls done exactly once, never from within run(). */
--- a/test/test_serve.c
+++ b/test/test_serve.c
@@ -209,7 +209,7 @@
 	int i, at = 0;
 
 	for (i = 0; i < N; i++) {
-		w = mu_home_weight(f->host[i], "prog");
+		w = mu_rendezvous(f->host[i], "prog");
 		if (f->up[i] && w > best) {
 			best = w;
 			at = i;
