Judge the parts of the store one by one; put records where a part answers

One belief stood for the whole store: with four parts in ten silent it went back and forth, operations on healthy parts waited behind those on dead ones, and a turn whose part was down could not end. A daemon turned away by silence sent every operation of a moment the direct way again and gave each up to 1.6 s there. Change: reach.c judges each part by its own attempts; one operation at a time tries the direct way; a record lies in one of three parts, the first that answers; budgets whose part fails are borrowed. history.c is split into what is kept, written and read. Tests: test_reach, test_store (two new, both fail on the old code), test_history (four new), on a paused clock.

--- a/src/account.c
+++ b/src/account.c
@@ -243,12 +243,15 @@
 	c->ask_guarantor(c->arg, &q, on_loan, p);
 }
 
-/* The store cannot be asked now, and the guarantor may lend. */
+/* The row's part cannot be asked now, and the guarantor may lend. */
 static bool
 may_borrow(const struct program *p)
 {
+	struct mu_store *s = p->a->store;
+
 	return p->refused == MU_REFUSED_NOTHING && !p->ledger.released &&
-	       mu_store_out(p->a->store);
+	       (mu_store_out(s) || mu_store_part_suspect(s, MU_ACCOUNT_TABLE,
+				       mu_account_part(p)));
 }
 
 static void
--- a/src/serve.c
+++ b/src/serve.c
@@ -15,6 +15,7 @@
 #include "log.h"
 #include "metric.h"
 #include "serve.h"
+#include "view.h"
 
 #define DAEMON_TABLE "daemons"
 /* A change is seen at once; a silent connection after this and an answer's
@@ -299,21 +300,31 @@
 		mu__store_op__free_unpacked(op, NULL);
 }
 
+/* Any of those that the store answers: one whose word is out of date is not
+ * asked again and again. */
 static struct mu_peer *
 relay_peer(struct mu_serve *s)
 {
-	struct mu_peer *p;
+	struct mu_peer *p, *chosen = NULL;
+	unsigned n = 0;
 
 	cds_list_for_each_entry (p, mu_mesh_peers(s->mesh), node)
-		if (p->up && p->store_ok)
-			return p;
-	return NULL;
+		if (p->up && p->store_ok && !p->leaving &&
+		    mu_rand(&s->targets.rng) % ++n == 0)
+			chosen = p;
+	return chosen;
 }
 
 static bool
 relay_available(void *arg)
 {
-	return relay_peer(arg) != NULL;
+	struct mu_serve *s = arg;
+	struct mu_peer *p;
+
+	cds_list_for_each_entry (p, mu_mesh_peers(s->mesh), node)
+		if (p->up && p->store_ok && !p->leaving)
+			return true;
+	return false;
 }
 
 struct relaying {
--- a/src/store.h
+++ b/src/store.h
@@ -50,18 +50,17 @@
 /* One attempt for a peer; never relayed further. */
 void mu_store_run_once(
     struct mu_store *s, const Mu__StoreOp *op, mu_store_fn done, void *arg);
-/* Whether the store answered this daemon's last direct attempt. */
+/* Whether the store answers this daemon, in most of the parts asked lately. */
 bool mu_store_ok(const struct mu_store *s);
 /* Whether the store answers neither this daemon nor a peer: operations wait.
  */
 bool mu_store_out(const struct mu_store *s);
+/* The same for one part of a table. */
+bool mu_store_part_out(struct mu_store *s, const char *table, const char *part);
+/* Whether the part failed lately while others answered. */
+bool
+mu_store_part_suspect(struct mu_store *s, const char *table, const char *part);
 /* Operations in progress. */
 unsigned mu_store_pending(const struct mu_store *s);
 
-/*
- * How long to wait for one attempt: pure, for tests.  rtt is the smoothed time
- * of an answer, misses the attempts without one since the last answer.
- */
-uint32_t mu_store_limit_ms(mu_us rtt, unsigned misses);
-
 #endif
--- a/test/memstore.h
+++ b/test/memstore.h
@@ -47,6 +47,8 @@
 	uint64_t ver;
 	enum mem_fault fault;
 	unsigned fault_count; /* calls that the fault meets; 0: all */
+	const char *down[16]; /* parts that the fault meets... */
+	unsigned ndown; /* ...0: all */
 	mu_us delay; /* of an answer */
 	unsigned calls, writes, reads, feeds;
 	size_t page; /* rows of one reading; 0: no limit */
@@ -226,13 +228,28 @@
 	free(a);
 }
 
+/* The fault that meets an operation. */
+static inline enum mem_fault
+mem_meets(const struct memstore *m, const Mu__StoreOp *op)
+{
+	const char *part = op->n_put > 0      ? op->put[0]->part
+			   : op->n_remove > 0 ? op->remove[0]->part
+					      : op->part;
+	unsigned i;
+
+	for (i = 0; i < m->ndown; i++)
+		if (strcmp(m->down[i], part) == 0)
+			return m->fault;
+	return m->ndown == 0 ? m->fault : MEM_WELL;
+}
+
 static inline void
 mem_run(void *arg, const Mu__StoreOp *op, uint32_t limit_ms, mu_store_fn done,
     void *done_arg)
 {
 	struct memstore *m = arg;
 	struct mem_answer *a = calloc(1, sizeof(*a));
-	enum mem_fault fault = m->fault;
+	enum mem_fault fault = mem_meets(m, op);
 	mu_us delay = m->delay;
 
 	m->calls++;
--- a/test/test_history.c
+++ b/test/test_history.c
@@ -6,7 +6,7 @@
 #include <stdio.h>
 #include <cmocka.h>
 
-#include "history.h"
+#include "history_private.h"
 #include "memstore.h"
 
 #define KEEP (60 * MU_US_PER_S)
@@ -255,6 +255,114 @@
 	assert_non_null(mu_history_find(f->d[0].history, "t399"));
 }
 
+/* Parts of the store in which `keep` is not: those that are down. */
+static void
+take_down(struct fixture *f, const char *turn, unsigned places)
+{
+	static const char *const names[] = {"h0", "h1", "h2", "h3", "h4", "h5",
+	    "h6", "h7", "h8", "h9", "h10", "h11", "h12", "h13", "h14", "h15"};
+	struct mu_history_part *p;
+	unsigned i, j;
+
+	f->mem->ndown = 0;
+	for (i = 0; i < places; i++) {
+		p = mu_history_place(f->d[0].history, turn, i);
+		for (j = 0; j < MU_HISTORY_PARTS; j++)
+			if (strcmp(names[j], p->name) == 0)
+				f->mem->down[f->mem->ndown++] = names[j];
+	}
+}
+
+/* Turns that end in parts that are well, so that both daemons know that the
+ * store as such answers. */
+static void
+keep_busy(struct fixture *f, unsigned n)
+{
+	Mu__TurnRecord *r;
+	char turn[16];
+	unsigned i;
+
+	for (i = 0; i < n; i++) {
+		(void)snprintf(turn, sizeof(turn), "busy%u", i);
+		r = record(turn, NULL, 10);
+		mu_history_commit(f->d[i % 2].history, r, KEEP,
+		    mu_loop_now(f->loop) + MU_US_PER_S, on_status, f);
+		mu__turn_record__free_unpacked(r, NULL);
+		run_ms(f->loop, &f->clock, 10);
+	}
+	f->answers = f->ok = 0;
+}
+
+/* The part of a turn is silent while others answer: the record goes to another
+ * one, and a daemon that knows nothing of that finds it there, also while the
+ * first part is still down. */
+static void
+test_part_down(void **state)
+{
+	struct fixture *f = *state;
+	Mu__TurnRecord *r = record("t1", NULL, 10);
+
+	keep_busy(f, 32);
+	f->mem->fault = MEM_SILENT;
+	take_down(f, "t1", 1);
+	commit(f, r, 3 * MU_US_PER_S);
+	run_ms(f->loop, &f->clock, 300);
+	assert_int_equal(f->ok, 1);
+	fetch(f, "t1", 300);
+	assert_int_equal(f->ok, 2);
+	assert_true(mu_history_whole(f->d[1].history, "t1"));
+	mu__turn_record__free_unpacked(r, NULL);
+}
+
+static void
+test_two_parts_down(void **state)
+{
+	struct fixture *f = *state;
+	Mu__TurnRecord *r = record("t2", NULL, 10);
+
+	keep_busy(f, 32);
+	f->mem->fault = MEM_BUSY;
+	take_down(f, "t2", 2);
+	commit(f, r, 3 * MU_US_PER_S);
+	run_ms(f->loop, &f->clock, 500);
+	assert_int_equal(f->ok, 1);
+	f->mem->fault = MEM_WELL;
+	fetch(f, "t2", 300);
+	assert_int_equal(f->ok, 2);
+	mu__turn_record__free_unpacked(r, NULL);
+}
+
+/* That a turn does not exist is known only when every part that may have it
+ * has said so. */
+static void
+test_not_found_needs_every_part(void **state)
+{
+	struct fixture *f = *state;
+
+	keep_busy(f, 32);
+	f->mem->fault = MEM_SILENT;
+	take_down(f, "t3", 3);
+	f->mem->down[0] = f->mem->down[2];
+	f->mem->ndown = 1;
+	fetch(f, "t3", 1100);
+	assert_int_equal(f->status, MU_HISTORY_UNAVAILABLE);
+	f->mem->fault = MEM_WELL;
+	fetch(f, "t3", 300);
+	assert_int_equal(f->status, MU_HISTORY_NOT_FOUND);
+}
+
+/* A place is given up for another one only when it fails: one write a record
+ * while the store is well. */
+static void
+test_one_write_a_record_when_well(void **state)
+{
+	struct fixture *f = *state;
+	unsigned before = f->mem->writes;
+
+	keep_busy(f, 32);
+	assert_int_equal(f->mem->writes - before, 32);
+}
+
 int
 main(void)
 {
@@ -267,6 +375,10 @@
 	    T(test_commit_waits_for_the_store),
 	    T(test_rows_go_when_kept_long_enough),
 	    T(test_memory_is_bounded),
+	    T(test_part_down),
+	    T(test_two_parts_down),
+	    T(test_not_found_needs_every_part),
+	    T(test_one_write_a_record_when_well),
 #undef T
 	};
 
--- a/test/test_store.c
+++ b/test/test_store.c
@@ -4,9 +4,11 @@
 #include <stddef.h>
 #include <setjmp.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <cmocka.h>
 
 #include "memstore.h"
+#include "reach.h"
 
 struct fixture {
 	struct mu_clock clock;
@@ -58,13 +60,14 @@
 }
 
 static void
-put(struct fixture *f, const char *key, mu_us limit)
+put_in(struct fixture *f, const char *part, const char *key, mu_us limit)
 {
 	Mu__StoreOp op = MU__STORE_OP__INIT;
 	Mu__StoreRow row = MU__STORE_ROW__INIT, *rows[] = {&row};
 	char table[] = "t", value[] = "v";
 
 	row.table = table;
+	row.part = (char *)(uintptr_t)part;
 	row.key = (char *)(uintptr_t)key;
 	row.value.data = (uint8_t *)value;
 	row.value.len = 1;
@@ -74,6 +77,12 @@
 	mu_store_run(f->store, &op, mu_loop_now(f->loop) + limit, on_done, f);
 }
 
+static void
+put(struct fixture *f, const char *key, mu_us limit)
+{
+	put_in(f, "", key, limit);
+}
+
 static void
 test_limit_follows_the_usual_time_and_doubles(void **state)
 {
@@ -214,6 +223,78 @@
 	mem_clear(peer);
 }
 
+/* Some parts of the store are silent for seconds: operations on the others
+ * take as long as ever, few calls go to those that are down, and what waits
+ * for them goes on at once when they are back. */
+static void
+test_part_that_is_down_holds_up_no_other(void **state)
+{
+	static const char *const well[] = {"p4", "p5", "p6", "p7", "p8", "p9"};
+	struct fixture *f = *state;
+	unsigned i, calls, down = 4;
+	mu_us began, slowest = 0;
+	char key[16];
+
+	f->mem->fault = MEM_SILENT;
+	f->mem->down[0] = "p0";
+	f->mem->down[1] = "p1";
+	f->mem->down[2] = "p2";
+	f->mem->down[3] = "p3";
+	f->mem->ndown = down;
+	for (i = 0; i < down; i++)
+		put_in(f, f->mem->down[i], "waits", 20 * MU_US_PER_S);
+	calls = f->mem->calls;
+	for (i = 0; i < 100; i++) {
+		began = mu_loop_now(f->loop);
+		(void)snprintf(key, sizeof(key), "k%u", i);
+		put_in(f, well[i % 6], key, MU_US_PER_S);
+		run_ms(f->loop, &f->clock, 40);
+		assert_int_equal(f->done, i + 1);
+		if (f->done_at - began > slowest)
+			slowest = f->done_at - began;
+	}
+	assert_true(slowest < 20 * MU_US_PER_MS);
+	assert_true(f->mem->calls - calls - 100 < 200);
+	assert_true(mu_store_ok(f->store));
+	assert_true(mu_store_part_suspect(f->store, "t", "p0"));
+	assert_false(mu_store_part_suspect(f->store, "t", "p4"));
+	f->mem->fault = MEM_WELL;
+	run_ms(f->loop, &f->clock, 250);
+	assert_int_equal(f->done, 100 + down);
+}
+
+/* The store is silent to this daemon and answers a peer, for seconds: no
+ * operation waits for the direct way to be given up once more. */
+static void
+test_silent_store_is_passed_by(void **state)
+{
+	struct fixture *f = *state;
+	struct memstore *peer = calloc(1, sizeof(*peer));
+	struct mu_store_relay relay = {peer, relay_available, mem_run};
+	mu_us began, slowest = 0;
+	unsigned i;
+	char key[16];
+
+	(void)mem_backend(peer, f->loop);
+	mu_store_set_relay(f->store, &relay);
+	f->mem->fault = MEM_SILENT;
+	for (i = 0; i < 100; i++) {
+		began = mu_loop_now(f->loop);
+		(void)snprintf(key, sizeof(key), "k%u", i);
+		put_in(f, i % 2 == 0 ? "a" : "b", key, 3 * MU_US_PER_S);
+		run_ms(f->loop, &f->clock, 300);
+		assert_int_equal(f->done, i + 1);
+		if (f->done_at - began > slowest)
+			slowest = f->done_at - began;
+	}
+	assert_true(slowest < 250 * MU_US_PER_MS);
+	relay.run = NULL;
+	mu_store_set_relay(f->store, &relay);
+	f->mem->fault = MEM_WELL;
+	run_ms(f->loop, &f->clock, 3000);
+	mem_clear(peer);
+}
+
 int
 main(void)
 {
@@ -227,6 +308,8 @@
 	    T(test_outage_costs_few_calls_and_ends_at_once),
 	    T(test_silent_store_gives_unknown),
 	    T(test_goes_through_a_peer),
+	    T(test_part_that_is_down_holds_up_no_other),
+	    T(test_silent_store_is_passed_by),
 #undef T
 	};
 
