Endpoints that leave by their own word; answers without end

Only the table of endpoints told who leaves, and an entry older than what was known could bring an endpoint back. A head was bounded, 1xx answers, chunk extensions, trailers and skipped answers were not; a connection that always had bytes kept the loop to itself. Change: the word of an answer counts for the instance, over lapses of its entry, and reaches peers by heartbeat with the instance's start; entries of lower sequence are ignored. An exchange ends as malformed after 256 KiB that are not of the answer's body; an answer that is kept whole may have 2 MiB (8 before: some tens of them filled a small host); the store's answers are bounded, too.

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1889,7 +1889,7 @@
   (ProtobufCMessageInit) mu__config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mu__endpoint_use__field_descriptors[3] =
+static const ProtobufCFieldDescriptor mu__endpoint_use__field_descriptors[5] =
 {
   {
     "endpoint",
@@ -1927,16 +1927,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leaving",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mu__EndpointUse, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Mu__EndpointUse, born),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mu__endpoint_use__field_indices_by_name[] = {
+  4,   /* field[4] = born */
   2,   /* field[2] = down_ms */
   0,   /* field[0] = endpoint */
+  3,   /* field[3] = leaving */
   1,   /* field[1] = sent */
 };
 static const ProtobufCIntRange mu__endpoint_use__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor mu__endpoint_use__descriptor =
 {
@@ -1946,7 +1972,7 @@
   "Mu__EndpointUse",
   "mu",
   sizeof(Mu__EndpointUse),
-  3,
+  5,
   mu__endpoint_use__field_descriptors,
   mu__endpoint_use__field_indices_by_name,
   1,  mu__endpoint_use__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -311,10 +311,21 @@
    * the sender could not connect: not to be used
    */
   uint32_t down_ms;
+  /*
+   * for this long; 0: not known to be down
+   */
+  /*
+   * it told the sender so in an answer
+   */
+  protobuf_c_boolean leaving;
+  /*
+   * start of the instance; 0: unknown
+   */
+  int64_t born;
 };
 #define MU__ENDPOINT_USE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mu__endpoint_use__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
--- a/src/attempt.c
+++ b/src/attempt.c
@@ -16,7 +16,9 @@
 #include "log.h"
 #include "metric.h"
 
-#define BODY_MAX ((size_t)8 << 20) /* of an answer that is kept whole */
+/* Of an answer that is kept whole, or of one event: an endpoint may send
+ * without end, and a small host has room for some tens of these. */
+#define BODY_MAX ((size_t)2 << 20)
 #define FULL_BACK_US (50 * MU_US_PER_MS) /* after an endpoint's refusal */
 /* A first byte that takes so many times the usual time is overdue. */
 #define LATE_FACTOR 8
@@ -108,6 +110,8 @@
 	struct mu_answer_head a = {0};
 
 	c->s->dialect->read_answer(head, &a);
+	if (a.leaving)
+		mu_target_said_leaving(c->target);
 	if (a.request == NULL || strcmp(a.request, c->req.id) == 0)
 		return true;
 	mu_log(MU_LOG_WARN, "call", "foreign_answer", "{s:s,s:s,s:s}",
--- a/src/serve.c
+++ b/src/serve.c
@@ -178,12 +178,14 @@
 		for (n = m->bucket[i]; n != NULL; n = n->next) {
 			x = MU_OWNER(n, struct mu_target, node);
 			down = x->down_until - mu_loop_now(s->loop);
-			if ((x->sent == 0 && down <= 0) ||
+			if ((x->sent == 0 && down <= 0 && !x->said_leaving) ||
 			    (u = malloc(sizeof(*u))) == NULL)
 				continue;
 			mu__endpoint_use__init(u);
 			u->endpoint = strdup(x->info.name);
 			u->sent = x->sent;
+			u->leaving = x->said_leaving;
+			u->born = x->info.born;
 			if (down > 0)
 				u->down_ms =
 				    (uint32_t)(down / MU_US_PER_MS) + 1;
@@ -225,10 +227,14 @@
 {
 	size_t i;
 
-	for (i = 0; b != NULL && i < b->n_uses; i++)
+	for (i = 0; b != NULL && i < b->n_uses; i++) {
+		if (add && b->uses[i]->leaving)
+			mu_targets_peer_leaving(&s->targets,
+			    b->uses[i]->endpoint, b->uses[i]->born);
 		mu_targets_peer(&s->targets, b->uses[i]->endpoint,
 		    add ? 0 : b->uses[i]->sent, add ? b->uses[i]->sent : 0,
 		    add ? b->uses[i]->down_ms : 0);
+	}
 }
 
 static void
--- a/src/serve.h
+++ b/src/serve.h
@@ -17,6 +17,7 @@
 	bool not_run; /* the endpoint did not run the request */
 	bool wrong_endpoint; /* another instance has the address */
 	bool signed_; /* bears the endpoint's digest */
+	bool leaving; /* the endpoint takes no new work */
 	bool loaded; /* tells its load */
 	uint32_t running, waiting, slots;
 };
--- a/src/targets.c
+++ b/src/targets.c
@@ -20,6 +20,8 @@
 #define DOWN_US (250 * MU_US_PER_MS)
 #define DOWN_SHIFT_MAX 4
 #define DEATH_MEMORY_US (15 * MU_US_PER_S)
+/* Of a peer's word that an endpoint leaves: some heartbeats. */
+#define LEAVING_TOLD_US (2 * MU_US_PER_S)
 #define FADE_US 1e6 /* others' requests: about some calls' time */
 #define START_CALL_US (150 * MU_US_PER_MS) /* until calls were timed */
 
@@ -77,6 +79,27 @@
 	return n != NULL ? MU_OWNER(n, struct mu_target, node) : NULL;
 }
 
+static void
+remember_left(struct mu_targets *t, const struct mu_target_info *info)
+{
+	struct mu_left *l = &t->left[t->next_left++ % MU_LEFT_MAX];
+
+	memcpy(l->name, info->name, sizeof(l->name));
+	l->born = info->born;
+}
+
+static bool
+has_left(const struct mu_targets *t, const struct mu_target_info *info)
+{
+	unsigned i;
+
+	for (i = 0; i < MU_LEFT_MAX; i++)
+		if (t->left[i].born == info->born &&
+		    strcmp(t->left[i].name, info->name) == 0)
+			return true;
+	return false;
+}
+
 /* Takes x off the list; it lives on while requests run there. */
 static void
 unlist(struct mu_targets *t, struct mu_target *x, const char *why)
@@ -84,6 +107,8 @@
 	mu_log(MU_LOG_INFO, "targets", "endpoint_gone", "{s:s,s:s,s:s,s:s,s:i}",
 	    "endpoint", x->info.name, "addr", x->info.addr, "service",
 	    x->info.service, "why", why, "running", (int)x->sent);
+	if (x->said_leaving)
+		remember_left(t, &x->info);
 	mu_hmap_del(&t->by_name, &x->node);
 	cds_list_del(&x->in_group);
 	x->listed = false;
@@ -110,6 +135,7 @@
 	x->info = *info;
 	x->node.key = x->info.name;
 	x->listed = x->mark = true;
+	x->said_leaving = has_left(t, info);
 	x->group = mu_targets_group(t, info->service);
 	mu_up_pool_init(&x->pool, t->loop, info->addr, 0);
 	mu_health_init(&x->health);
@@ -135,11 +161,16 @@
 		add(t, info);
 		return;
 	}
+	x->mark = true;
+	/* Older than what is known of this instance. */
+	if (info->born != 0 && info->sequence < x->info.sequence)
+		return;
+	if (x->info.leaving && !info->leaving)
+		x->said_leaving = false;
 	if (info->leaving && !x->info.leaving)
 		mu_log(MU_LOG_INFO, "targets", "endpoint_leaving", "{s:s,s:i}",
 		    "endpoint", info->name, "running", (int)x->sent);
 	x->info = *info;
-	x->mark = true;
 }
 
 void
@@ -238,6 +269,33 @@
 	x->peers = x->peers + now > before ? x->peers + now - before : 0;
 }
 
+void
+mu_target_said_leaving(struct mu_target *x)
+{
+	if (x->said_leaving)
+		return;
+	x->said_leaving = true;
+	mu_log(MU_LOG_INFO, "targets", "endpoint_said_leaving", "{s:s,s:b,s:i}",
+	    "endpoint", x->info.name, "listed_leaving", x->info.leaving,
+	    "running", (int)x->sent);
+}
+
+void
+mu_targets_peer_leaving(struct mu_targets *t, const char *name, int64_t born)
+{
+	struct mu_target *x = find(t, name);
+
+	if (x != NULL && x->info.born == born)
+		x->leaving_told = mu_loop_now(t->loop) + LEAVING_TOLD_US;
+}
+
+/* Whether the endpoint takes new work, as far as is known. */
+static bool
+staying(const struct mu_target *x, mu_us now)
+{
+	return !x->info.leaving && !x->said_leaving && now >= x->leaving_told;
+}
+
 void
 mu_target_lost(struct mu_target *x, uint64_t fingerprint, mu_us now)
 {
@@ -274,7 +332,7 @@
 	struct mu_target *x;
 
 	cds_list_for_each_entry (x, &g->targets, in_group) {
-		if (x->info.leaving)
+		if (!staying(x, now))
 			continue;
 		places += x->info.slots;
 		taken += x->sent + others_now(x, now);
@@ -295,7 +353,7 @@
 			break;
 		who[n] = x;
 		memset(&c[n], 0, sizeof(c[n]));
-		c[n].usable = !x->info.leaving && now >= x->full_until &&
+		c[n].usable = staying(x, now) && now >= x->full_until &&
 			      now >= x->down_until && now >= x->down_told &&
 			      mu_health_state(&mu_targets_eject, &x->health,
 				  now) != MU_HEALTH_EJECTED;
--- a/src/targets.h
+++ b/src/targets.h
@@ -21,6 +21,7 @@
 	uint32_t slots;
 	bool leaving;
 	int64_t born; /* start of the instance; 0: unknown */
+	int64_t sequence; /* rises with each entry of one instance */
 };
 
 struct mu_group;
@@ -39,6 +40,8 @@
 	struct mu_target_info info;
 	bool listed;
 	bool mark; /* named by the list being read */
+	bool said_leaving; /* in an answer to this daemon */
+	mu_us leaving_told; /* until then, as peers tell */
 	struct mu_up_pool pool;
 	uint32_t sent; /* requests of this daemon there now */
 	uint32_t peers; /* requests of peers there, by their heartbeats */
@@ -67,12 +70,24 @@
 	struct mu_timer look; /* when they are looked at again */
 };
 
+/* An instance that said in an answer that it leaves. */
+struct mu_left {
+	char name[MU_NAME_LEN];
+	int64_t born;
+};
+
+/* Instances remembered after their entries have gone: more than leave in the
+ * time for which a stale entry may come back. */
+#define MU_LEFT_MAX 64
+
 struct mu_targets {
 	struct mu_loop *loop;
 	char domain[MU_NAME_LEN]; /* of this daemon */
 	struct mu_hmap by_name;
 	struct mu_hmap groups;
 	uint64_t rng;
+	struct mu_left left[MU_LEFT_MAX];
+	unsigned next_left;
 };
 
 extern const struct mu_eject_conf mu_targets_eject;
@@ -94,6 +109,13 @@
 /* What mu_choose() takes, in the order of the group; returns the count. */
 uint32_t mu_group_view(const struct mu_targets *t, const struct mu_group *g,
     struct mu_candidate *c, struct mu_target **who);
+/* The endpoint says in an answer that it leaves: it gets nothing new, whatever
+ * its entry says, until the instance is listed as leaving and then as ready, or
+ * is replaced. */
+void mu_target_said_leaving(struct mu_target *x);
+/* A peer says that the endpoint's instance told it so. */
+void
+mu_targets_peer_leaving(struct mu_targets *t, const char *name, int64_t born);
 /* A peer had `before` and now has `now` requests at an endpoint, which it takes
  * to be down for down_ms. */
 void mu_targets_peer(struct mu_targets *t, const char *name, uint32_t before,
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -40,7 +40,11 @@
 #define TRUST_MIN_US (100 * MU_US_PER_MS)
 #define TRUST_RAISE 8 /* a good use raises it by a part of so many */
 #define READ_BYTES 16384
+#define READS_AT_ONCE 8 /* of one connection, before others have a turn */
 #define SKIP_MAX 3 /* answers to other requests before one's own */
+/* Bytes that are not of the answer's body: head, framing of some ten thousand
+ * events, answers that are skipped. An endpoint may send such without end. */
+#define OVERHEAD_MAX ((size_t)256 << 10)
 #define HEADER_BYTES 8192
 
 struct mu_up_exchange {
@@ -60,6 +64,7 @@
 	bool cancelled; /* while reading */
 	bool started; /* first byte of the own answer came */
 	unsigned skipped;
+	size_t overhead; /* bytes that were not of the answer's body */
 	mu_us idle_limit;
 	mu_us idle_since;
 	mu_us idled; /* before the current request; 0: a new connection */
@@ -264,8 +269,10 @@
 {
 	struct mu_up_exchange *x = hp->data;
 
-	if (!x->skip)
+	if (!x->skip) {
+		x->overhead -= len;
 		x->hooks.body(x->hooks.arg, at, len);
+	}
 	return x->cancelled ? 1 : 0;
 }
 
@@ -320,6 +327,7 @@
 	size_t n;
 
 	x->reading = true;
+	x->overhead += len;
 	n = http_parser_execute(&x->parser, &parser_settings, data, len);
 	x->reading = false;
 	if (x->cancelled) {
@@ -330,7 +338,8 @@
 		finish(x, n == len);
 		return false;
 	}
-	if (HTTP_PARSER_ERRNO(&x->parser) != HPE_OK || n != len) {
+	if (HTTP_PARSER_ERRNO(&x->parser) != HPE_OK || n != len ||
+	    x->overhead > OVERHEAD_MAX) {
 		fail(x, len > 0 ? MU_UP_MALFORMED : MU_UP_LOST);
 		return false;
 	}
@@ -341,9 +350,10 @@
 on_readable(struct mu_up_exchange *x)
 {
 	char data[READ_BYTES];
+	unsigned reads;
 	ssize_t n;
 
-	for (;;) {
+	for (reads = 0; reads < READS_AT_ONCE; reads++) {
 		n = recv(x->watch.fd, data, sizeof(data), 0);
 		if (n < 0 && (errno == EAGAIN || errno == EINTR))
 			return;
@@ -505,6 +515,7 @@
 	x->busy = true;
 	x->sent = x->skip = x->done = x->started = false;
 	x->skipped = 0;
+	x->overhead = 0;
 	http_parser_init(&x->parser, HTTP_RESPONSE);
 	x->parser.data = x;
 	if (mu_buf_printf(&x->out, "%s %s HTTP/1.1\r\n%s", req->method,
--- a/test/sockkit.h
+++ b/test/sockkit.h
@@ -6,6 +6,7 @@
 #define MU_SOCKKIT_H
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <stdio.h>
@@ -58,6 +59,7 @@
 	struct mu_watch watch;
 	struct mu_buf in;
 	bool open;
+	const char *endless; /* NULL: none */
 };
 
 struct kit_end {
@@ -66,9 +68,11 @@
 	char addr[MU_ADDR_LEN];
 	const struct kit_step *steps;
 	unsigned nsteps;
+	const char *endless; /* sent after answers until the peer closes */
 	unsigned requests; /* that came whole */
 	unsigned accepted;
 	unsigned gone; /* connections that the daemon closed */
+	size_t endless_bytes; /* that could be sent */
 	char last[65536]; /* last request */
 	struct kit_conn conn[KIT_CONNS];
 };
@@ -145,6 +149,27 @@
 		kit_send(c->watch.fd, s->answer, id);
 	if (s->close || s->reset)
 		kit_conn_close(c, s->reset);
+	c->endless = e->endless;
+	if (c->open && c->endless != NULL)
+		mu_watch_set(e->loop, &c->watch, EPOLLIN | EPOLLOUT);
+}
+
+/* Sends the endless piece again and again; false when the peer has closed. */
+static inline bool
+kit_flood(struct kit_conn *c)
+{
+	char data[65536];
+	size_t n = strlen(c->endless), i;
+	ssize_t sent;
+
+	for (i = 0; i + n <= sizeof(data); i += n)
+		memcpy(data + i, c->endless, n);
+	/* A piece that is cut would change what the parser sees. */
+	sent = send(c->watch.fd, data, i, MSG_NOSIGNAL | MSG_DONTWAIT);
+	if (sent < 0)
+		return errno == EAGAIN;
+	c->e->endless_bytes += (size_t)sent;
+	return true;
 }
 
 static inline void
@@ -152,9 +177,16 @@
 {
 	struct kit_conn *c = arg;
 	char *room = mu_buf_room(&c->in, 65536);
-	ssize_t n = recv(c->watch.fd, room, 65536, 0);
+	ssize_t n;
 
-	(void)events;
+	if (c->endless != NULL && !kit_flood(c)) {
+		c->e->gone++;
+		kit_conn_close(c, false);
+		return;
+	}
+	if ((events & ~(uint32_t)EPOLLOUT) == 0)
+		return;
+	n = recv(c->watch.fd, room, 65536, MSG_DONTWAIT);
 	if (n <= 0) {
 		c->e->gone++;
 		kit_conn_close(c, false);
@@ -182,6 +214,7 @@
 	c = &e->conn[i % KIT_CONNS];
 	c->e = e;
 	c->open = true;
+	c->endless = NULL;
 	c->watch.fd = fd;
 	c->watch.events = EPOLLIN;
 	c->watch.fn = kit_read;
--- a/test/test_call.c
+++ b/test/test_call.c
@@ -474,6 +474,110 @@
 	kit_caller_free(c);
 }
 
+/* An endpoint says in an answer that it leaves, while the list says ready: the
+ * answer is delivered and nothing new goes there. */
+static void
+leaves_with(struct fixture *f, const char *service, const struct kit_step *s,
+    const char *request, const char *want)
+{
+	static const struct kit_step plain[] = {{PLAIN, false, false}};
+	struct kit_end *e = endpoint(f, service, s, 1), *other;
+	unsigned i;
+
+	ready(f);
+	expect(f, request, 2000, want);
+	assert_int_equal(e->requests, 1);
+	other = endpoint(f, service, plain, 1);
+	ready(f);
+	for (i = 0; i < 8; i++)
+		expect(f, GET("/look/a", "r2"), 2000, "HTTP/1.1 ");
+	assert_int_equal(e->requests, 1);
+	if (strcmp(service, "app") == 0)
+		assert_int_equal(other->requests, 8);
+}
+
+#define LEAVING "Server-Leaving: 1\r\n"
+
+static void
+test_plain_answer_says_leaving(void **state)
+{
+	static const struct kit_step s[] = {
+	    {HEAD("200 OK") LEAVING "Content-Length: 4\r\n\r\ndone", false,
+		false}};
+
+	leaves_with(*state, "app", s, ORDER("o1"), "done");
+}
+
+static void
+test_failure_says_leaving(void **state)
+{
+	static const struct kit_step s[] = {
+	    {HEAD("500 Oops") LEAVING "Content-Length: 4\r\n\r\noops", false,
+		false}};
+
+	leaves_with(*state, "app", s, ORDER("o1"), "HTTP/1.1 500");
+}
+
+static void
+test_refusal_says_leaving(void **state)
+{
+	static const struct kit_step s[] = {
+	    {"HTTP/1.1 503 Busy\r\nRequest-Id: $ID\r\nNot-Executed: "
+	     "1\r\n" LEAVING "Content-Length: 0\r\n\r\n",
+		false, false}};
+
+	leaves_with(*state, "app", s, ORDER("o1"), "HTTP/1.1 503");
+}
+
+/* On an answer to a request that has been given up. */
+static void
+test_late_answer_says_leaving(void **state)
+{
+	static const struct kit_step s[] = {
+	    {"HTTP/1.1 200 OK\r\nRequest-Id: old\r\n" LEAVING
+	     "Content-Length: 1\r\n\r\nx" PLAIN,
+		false, false}};
+
+	leaves_with(*state, "app", s, ORDER("o1"), "done");
+}
+
+static void
+test_stream_says_leaving(void **state)
+{
+	static const struct kit_step s[] = {{HEAD("200 OK") LEAVING
+	    "Transfer-Encoding: chunked\r\n\r\n" PIECE("1") LAST,
+	    false, false}};
+	struct fixture *f = *state;
+	struct kit_end *e = endpoint(f, "llm", s, 1);
+
+	ready(f);
+	expect(f, TURN("/check/1", "c1", ""), 2000, "piece 1");
+	expect(f, TURN("/check/1", "c2", ""), 2000, "no_endpoint");
+	assert_int_equal(e->requests, 1);
+}
+
+/* Several requests are under way when it says so: they end as usual. */
+static void
+test_leaving_endpoint_ends_its_requests(void **state)
+{
+	static const struct kit_step s[] = {{NULL, false, false},
+	    {HEAD("200 OK") LEAVING "Content-Length: 4\r\n\r\ndone", false,
+		false}};
+	struct fixture *f = *state;
+	struct kit_end *e = endpoint(f, "app", s, 2);
+	struct kit_caller *c;
+
+	ready(f);
+	c = kit_call(f->loop, f->addr, ORDER("o1"));
+	(void)kit_until(f->loop, 1000, e->requests == 1);
+	expect(f, ORDER("o2"), 2000, "done");
+	kit_send(e->conn[0].watch.fd, PLAIN, "o1");
+	(void)kit_until(
+	    f->loop, 1000, strstr(kit_got(c), "\r\n\r\ndone") != NULL);
+	assert_non_null(strstr(kit_got(c), "\r\n\r\ndone"));
+	kit_caller_free(c);
+}
+
 /* The lines that docs/OPERATIONS.md relies on. */
 static void
 test_lines_for_a_failed_request(void **state)
@@ -529,6 +633,12 @@
 	    T(test_dead_endpoint_is_left_alone),
 	    T(test_waits_without_requests_of_its_own),
 	    T(test_lines_for_a_failed_request),
+	    T(test_plain_answer_says_leaving),
+	    T(test_failure_says_leaving),
+	    T(test_refusal_says_leaving),
+	    T(test_late_answer_says_leaving),
+	    T(test_stream_says_leaving),
+	    T(test_leaving_endpoint_ends_its_requests),
 #undef T
 	};
 
--- /dev/null
+++ b/test/test_targets.c
@@ -0,0 +1,194 @@
+/* test_targets.c -- what is believed of endpoints that leave: their entries,
+ * their answers and what peers say; on a paused clock. */
+#include <stdarg.h>
+#include <stddef.h>
+#include <setjmp.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "memstore.h"
+#include "targets.h"
+
+struct fixture {
+	struct mu_clock clock;
+	struct mu_loop *loop;
+	struct mu_targets targets;
+	struct mu_group *group;
+};
+
+static int
+setup(void **state)
+{
+	struct fixture *f = calloc(1, sizeof(*f));
+
+	mu_clock_manual(&f->clock, MU_US_PER_S);
+	f->loop = mu_loop_new(&f->clock);
+	(void)mu_targets_init(&f->targets, f->loop, "east", 1);
+	f->group = mu_targets_group(&f->targets, "app");
+	*state = f;
+	return 0;
+}
+
+static int
+teardown(void **state)
+{
+	struct fixture *f = *state;
+
+	mu_targets_clear(&f->targets);
+	mu_loop_free(f->loop);
+	free(f);
+	return 0;
+}
+
+static void
+entry(struct fixture *f, const char *name, int64_t born, int64_t sequence,
+    bool leaving)
+{
+	struct mu_target_info i = {.service = "app",
+	    .addr = "127.0.0.1:9",
+	    .domain = "east",
+	    .slots = 4,
+	    .leaving = leaving,
+	    .born = born,
+	    .sequence = sequence};
+
+	(void)snprintf(i.name, sizeof(i.name), "%s", name);
+	mu_targets_learn(&f->targets, &i);
+}
+
+static struct mu_target *
+view(struct fixture *f, const char *name, bool *usable)
+{
+	struct mu_candidate c[MU_CHOOSE_MAX];
+	struct mu_target *who[MU_CHOOSE_MAX], *x = NULL;
+	uint32_t i, n;
+
+	*usable = false;
+	n = mu_group_view(&f->targets, f->group, c, who);
+	for (i = 0; i < n; i++)
+		if (strcmp(who[i]->info.name, name) == 0) {
+			*usable = c[i].usable;
+			x = who[i];
+		}
+	return x;
+}
+
+static bool
+usable(struct fixture *f, const char *name)
+{
+	bool u;
+
+	(void)view(f, name, &u);
+	return u;
+}
+
+static void
+says_leaving(struct fixture *f, const char *name)
+{
+	bool u;
+
+	mu_target_said_leaving(view(f, name, &u));
+}
+
+/* An entry that still says ready does not bring it back, also one written
+ * later; the others of the service serve on. */
+static void
+test_word_outlives_the_entry(void **state)
+{
+	struct fixture *f = *state;
+
+	entry(f, "e1", 100, 5, false);
+	entry(f, "e2", 100, 5, false);
+	says_leaving(f, "e1");
+	assert_false(usable(f, "e1"));
+	entry(f, "e1", 100, 6, false);
+	run_ms(f->loop, &f->clock, 5000);
+	assert_false(usable(f, "e1"));
+	assert_true(usable(f, "e2"));
+	assert_true(mu_group_pressure(&f->targets, f->group) < 0.01);
+}
+
+/* Its entry lapses and comes back while it is still leaving. */
+static void
+test_word_outlives_a_lapse(void **state)
+{
+	struct fixture *f = *state;
+
+	entry(f, "e1", 100, 5, false);
+	says_leaving(f, "e1");
+	mu_targets_remove(&f->targets, "e1");
+	entry(f, "e1", 100, 6, false);
+	assert_false(usable(f, "e1"));
+}
+
+static void
+test_new_instance_serves(void **state)
+{
+	struct fixture *f = *state;
+
+	entry(f, "e1", 100, 5, false);
+	says_leaving(f, "e1");
+	entry(f, "e1", 200, 1, false);
+	assert_true(usable(f, "e1"));
+}
+
+/* It was listed as leaving, and then as ready again. */
+static void
+test_listed_anew(void **state)
+{
+	struct fixture *f = *state;
+
+	entry(f, "e1", 100, 5, false);
+	says_leaving(f, "e1");
+	entry(f, "e1", 100, 6, true);
+	assert_false(usable(f, "e1"));
+	entry(f, "e1", 100, 7, false);
+	assert_true(usable(f, "e1"));
+}
+
+/* An entry that is older than what is known says nothing. */
+static void
+test_stale_entry(void **state)
+{
+	struct fixture *f = *state;
+
+	entry(f, "e1", 100, 7, true);
+	entry(f, "e1", 100, 6, false);
+	assert_false(usable(f, "e1"));
+}
+
+/* A peer's word counts for the instance that it is about, and fades unless it
+ * is said again. */
+static void
+test_peer_says_leaving(void **state)
+{
+	struct fixture *f = *state;
+
+	entry(f, "e1", 100, 5, false);
+	mu_targets_peer_leaving(&f->targets, "e1", 99);
+	assert_true(usable(f, "e1"));
+	mu_targets_peer_leaving(&f->targets, "e1", 100);
+	assert_false(usable(f, "e1"));
+	run_ms(f->loop, &f->clock, 3000);
+	assert_true(usable(f, "e1"));
+	mu_targets_peer_leaving(&f->targets, "nobody", 1);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+#define T(t) cmocka_unit_test_setup_teardown(t, setup, teardown)
+	    T(test_word_outlives_the_entry),
+	    T(test_word_outlives_a_lapse),
+	    T(test_new_instance_serves),
+	    T(test_listed_anew),
+	    T(test_stale_entry),
+	    T(test_peer_says_leaving),
+#undef T
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/test/test_upstream.c
+++ b/test/test_upstream.c
@@ -14,6 +14,8 @@
 #define FOREIGN \
 	"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 3\r\n\r\nbad"
 
+#define CHUNKS "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
 struct fixture {
 	struct mu_clock clock;
 	struct mu_loop *loop;
@@ -243,6 +245,43 @@
 	assert_int_equal(f->ends, 0);
 }
 
+/* Bytes that are no answer and do not end, wherever they come: the exchange
+ * ends as malformed, soon, and the connection is closed. */
+static void
+test_endless_bytes_end_the_exchange(void **state)
+{
+	static const struct {
+		struct kit_step head;
+		const char *endless;
+	} floods[] = {
+	    {{"", false, false}, "x"},
+	    {{"HTTP/1.1 200 OK\r\nX-Long: ", false, false}, "x"},
+	    {{"HTTP/1.1 200 OK\r\n", false, false}, "X-Many: 1\r\n"},
+	    {{"", false, false}, "HTTP/1.1 100 Continue\r\n\r\n"},
+	    {{CHUNKS, false, false}, "0"},
+	    {{CHUNKS "1;", false, false}, "x"},
+	    {{CHUNKS "0\r\n", false, false}, "X-Trailer: 1\r\n"},
+	    {{"HTTP/1.1 200 OK\r\nRequest-Id: other\r\n\r\n", false, false},
+		"x"},
+	};
+	struct fixture *f = *state;
+	unsigned i;
+
+	for (i = 0; i < sizeof(floods) / sizeof(*floods); i++) {
+		script(f, &floods[i].head, 1);
+		f->end->endless = floods[i].endless;
+		run_one(f);
+		assert_int_equal(f->how, MU_UP_MALFORMED);
+		assert_true(f->sent);
+		assert_true(
+		    kit_until(f->loop, 2000, f->end->gone == f->end->accepted));
+		kit_wait(f->loop, 20);
+		mu_up_pool_clear(&f->pool);
+		kit_end_free(f->end);
+		f->end = NULL;
+	}
+}
+
 int
 main(void)
 {
@@ -256,6 +295,7 @@
 	    T(test_no_answer_in_the_protocol),
 	    T(test_nobody_listens),
 	    T(test_cancel_says_whether_it_was_sent),
+	    T(test_endless_bytes_end_the_exchange),
 #undef T
 	};
 
