Go on with what is left of a budget; kept connections first among equals

Change: a draw waits 160 ms, as long as the part needs to count as failing. A turn that can neither draw nor borrow begins with the rest of what is here, a quarter of its most at least, and is cut off before it uses more. What is queued for a caller goes out before its stream is broken off. Among endpoints of equal cost those with a kept connection go first. test_draw_without_answer_is_found_again now runs without a guarantor: with the shorter draw its first turn is served by a loan, which is what callers want and what test_row_in_a_part_that_is_down checks. Tests: test_account (two new), test_ledger, test_call, test_choose (one each).

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -2283,7 +2283,7 @@
   mu__granted__status__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor mu__granted__field_descriptors[5] =
+static const ProtobufCFieldDescriptor mu__granted__field_descriptors[6] =
 {
   {
     "id",
@@ -2345,6 +2345,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "tokens",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Granted, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mu__granted__field_indices_by_name[] = {
   3,   /* field[3] = endpoint */
@@ -2352,11 +2364,12 @@
   2,   /* field[2] = history */
   0,   /* field[0] = id */
   1,   /* field[1] = status */
+  5,   /* field[5] = tokens */
 };
 static const ProtobufCIntRange mu__granted__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor mu__granted__descriptor =
 {
@@ -2366,7 +2379,7 @@
   "Mu__Granted",
   "mu",
   sizeof(Mu__Granted),
-  5,
+  6,
   mu__granted__field_descriptors,
   mu__granted__field_indices_by_name,
   1,  mu__granted__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -430,10 +430,14 @@
    * prompt tokens that it holds
    */
   uint64_t held;
+  /*
+   * reserved; the turn must not use more
+   */
+  uint64_t tokens;
 };
 #define MU__GRANTED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mu__granted__descriptor) \
-    , 0, MU__GRANTED__STATUS__OK, {0,NULL}, (char *)protobuf_c_empty_string, 0 }
+    , 0, MU__GRANTED__STATUS__OK, {0,NULL}, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
--- a/src/account.c
+++ b/src/account.c
@@ -22,6 +22,9 @@
 #define FORGET_US (90 * MU_US_PER_S)
 #define HELD_US (10 * 60 * MU_US_PER_S) /* longer than any call */
 #define SWEEP_US (10 * MU_US_PER_S)
+/* Of what a turn may use: programs of the users' sites use a quarter of it on
+ * average. */
+#define SHORT_PART 4
 
 static void
 program_free(struct program *p)
@@ -243,15 +246,47 @@
 	c->ask_guarantor(c->arg, &q, on_loan, p);
 }
 
-/* The row's part cannot be asked now, and the guarantor may lend. */
+/* The row's part cannot be asked now. */
 static bool
-may_borrow(const struct program *p)
+row_out(const struct program *p)
 {
 	struct mu_store *s = p->a->store;
 
+	return mu_store_out(s) ||
+	       mu_store_part_suspect(s, MU_ACCOUNT_TABLE, mu_account_part(p));
+}
+
+/* The row cannot be asked, and the guarantor may lend. */
+static bool
+may_borrow(const struct program *p)
+{
 	return p->refused == MU_REFUSED_NOTHING && !p->ledger.released &&
-	       (mu_store_out(s) || mu_store_part_suspect(s, MU_ACCOUNT_TABLE,
-				       mu_account_part(p)));
+	       row_out(p);
+}
+
+/*
+ * Nothing can be drawn or borrowed: what is left here serves the turn that
+ * waits first, which is cut off should it use more.  Most turns use far less
+ * than they may.
+ */
+static bool
+serve_short(struct program *p, struct hold *w)
+{
+	uint64_t rest;
+
+	if ((p->refused == MU_REFUSED_NOTHING && !p->ledger.released) ||
+	    !row_out(p))
+		return false;
+	rest = mu_ledger_reserve_rest(&p->ledger, w->most / SHORT_PART);
+	if (rest == 0)
+		return false;
+	mu_log(MU_LOG_INFO, "home", "reserved_short", "{s:s,s:s,s:I,s:I}",
+	    "program", p->id, "request", w->turn, "tokens", (json_int_t)rest,
+	    "most", (json_int_t)w->most);
+	w->most = rest;
+	p->refused = MU_REFUSED_NOTHING;
+	answer_held(p, w);
+	return true;
 }
 
 static void
@@ -293,12 +328,14 @@
 		case MU_LEDGER_DRAW:
 			if (may_borrow(p))
 				ask_guarantor(p, w->most, a.lack, w->deadline);
-			else
+			else if (!serve_short(p, w))
 				mu_account_draw(p, a.draw, w->deadline);
 			break;
 		case MU_LEDGER_RELEASE:
 			if (may_borrow(p))
 				ask_guarantor(p, w->most, a.lack, w->deadline);
+			else if (serve_short(p, w))
+				break;
 			else if (p->refused != MU_REFUSED_RELEASE)
 				ask_guarantor(p, w->most, 0, w->deadline);
 			else
@@ -350,6 +387,16 @@
 	return NULL;
 }
 
+uint64_t
+mu_accounts_reserved(
+    struct mu_accounts *a, const char *program, const char *turn)
+{
+	struct program *p = find_program(a, program);
+	struct hold *w = p != NULL ? find_hold(&p->holds, turn) : NULL;
+
+	return w != NULL ? w->most : 0;
+}
+
 void
 mu_accounts_settle(
     struct mu_accounts *a, const char *program, const char *turn, uint64_t used)
--- a/src/account.h
+++ b/src/account.h
@@ -53,6 +53,10 @@
 /* Reserves; fn may be called from within this function. */
 void mu_accounts_reserve(struct mu_accounts *a, const struct mu_reservation *r,
     mu_begin_fn fn, void *arg);
+/* Tokens reserved for a turn, which must not use more: fewer than it asked for
+ * when the program's row could not be asked; 0: it has no reservation. */
+uint64_t mu_accounts_reserved(
+    struct mu_accounts *a, const char *program, const char *turn);
 /* Ends a reservation, or the wait for it. */
 void mu_accounts_settle(struct mu_accounts *a, const char *program,
     const char *turn, uint64_t used);
--- a/src/account_private.h
+++ b/src/account_private.h
@@ -67,7 +67,7 @@
 struct hold {
 	struct cds_list_head node;
 	char turn[MU_STORE_KEY + 1];
-	uint64_t most;
+	uint64_t most; /* tokens to be reserved, or reserved */
 	mu_us deadline;
 	mu_begin_fn fn;
 	void *arg;
--- a/src/accountrow.c
+++ b/src/accountrow.c
@@ -17,9 +17,9 @@
  * shorter. */
 #define PAUSE_US (400 * MU_US_PER_MS)
 #define RETURN_LIMIT_US (3 * MU_US_PER_S)
-/* Of a draw, which is then tried again, or borrowed if the store turns out to
- * be out: many times its answer's usual time, a fraction of a turn's. */
-#define DRAW_LIMIT_US (300 * MU_US_PER_MS)
+/* Of a draw, which is then tried again, or borrowed if the row's part turns out
+ * to be out: two attempts that a silent part does not answer (reach.c). */
+#define DRAW_LIMIT_US (160 * MU_US_PER_MS)
 
 /* Takes over what the row says now. */
 static void
--- a/src/attempt.c
+++ b/src/attempt.c
@@ -197,6 +197,11 @@
 	struct mu_call *c = arg;
 	size_t n = c->sse.fed - c->event_at;
 
+	if (c->grant.held &&
+	    (c->events + 1) * c->service->tokens_per_event > c->grant.tokens) {
+		c->over_budget = true;
+		return MU_E_BUDGET;
+	}
 	mu_in_write(c->in, mu_buf_data(&c->answer), n);
 	mu_buf_take(&c->answer, n);
 	c->event_at = c->sse.fed;
@@ -226,6 +231,11 @@
 		goto fail;
 	return;
 fail:
+	if (c->over_budget) {
+		mu_attempt_cancel(c, MU_HEALTH_BUSY);
+		mu_call_refuse(c, 504, 0, "reservation_used_up");
+		return;
+	}
 	mu_log(MU_LOG_ERROR, "call", "answer_too_large", "{s:s}", "request",
 	    c->req.id);
 	mu_attempt_cancel(c, MU_HEALTH_FAILURE);
--- a/src/call_private.h
+++ b/src/call_private.h
@@ -66,6 +66,7 @@
 	struct mu_sse sse;
 	size_t event_at; /* sse.fed at the start of answer */
 	uint64_t events; /* passed on */
+	bool over_budget; /* the next event exceeds the reservation */
 	struct mu_buf output; /* data of the events */
 	char last_event[64];
 	const char *why; /* of the final answer, for the log */
--- a/src/choose.c
+++ b/src/choose.c
@@ -6,8 +6,10 @@
  * endpoint is the time until the answer's end: a place in its batch, its pace
  * when fuller, prompt tokens that it does not hold.  An endpoint of another
  * failure domain costs a share of a call more, since its bytes are paid for;
- * under load that is soon outweighed.  Among equals the draw is random, so
- * that daemons with the same view don't follow one another.
+ * under load that is soon outweighed.  Among equals those to which a
+ * connection is kept go first, since hundreds of daemons would otherwise open
+ * new ones to every endpoint for a call now and then; among those the draw is
+ * random, so that daemons with the same view don't follow one another.
  *
  * A program that goes on where its prompt is cached saves the time to read it,
  * which under load is most of the work; so programs stay where they are unless
@@ -76,6 +78,7 @@
 	struct mu_choice out = {.kind = MU_CHOICE_REFUSE, .none = true};
 	double cost, best = 0;
 	uint32_t i, ties = 0;
+	bool warm = false;
 
 	for (i = 0; i < n; i++) {
 		if (!c[i].usable)
@@ -92,9 +95,14 @@
 		if (ties == 0 || cost < best * (1 - TIE_SHARE)) {
 			ties = 1;
 			best = cost;
+		} else if (c[i].warm != warm) {
+			if (warm)
+				continue;
+			ties = 1;
 		} else if (mu_rand(rng) % ++ties != 0) {
 			continue;
 		}
+		warm = c[i].warm;
 		out.kind = MU_CHOICE_SEND;
 		out.index = i;
 		out.cost = (mu_us)cost;
--- a/src/choose.h
+++ b/src/choose.h
@@ -18,6 +18,7 @@
 	uint32_t sent; /* requests of this daemon there */
 	double others; /* requests of other callers there, estimated */
 	uint32_t slots; /* requests that it runs at once */
+	bool warm; /* a connection to it is kept */
 	bool near; /* in this daemon's failure domain */
 	double slow; /* time a piece over the median; 1: as others */
 	uint32_t missing; /* prompt tokens that it has to read */
--- a/src/home.c
+++ b/src/home.c
@@ -211,6 +211,8 @@
 	}
 	g->grant->held = true;
 	g->grant->remote = false;
+	g->grant->tokens =
+	    mu_accounts_reserved(g->h->accounts, g->program, g->turn);
 	g->grant->incarnation = g->h->conf.incarnation;
 	need_history(g);
 }
@@ -275,6 +277,7 @@
 		    sizeof(g->grant->cached.endpoint), "%s",
 		    f->granted->endpoint);
 		g->grant->cached.held = f->granted->held;
+		g->grant->tokens = f->granted->tokens;
 		keep_history(g, &f->granted->history);
 		need_history(g);
 		break;
@@ -432,6 +435,7 @@
 	g.status = granted_status(st);
 	g.endpoint = q->cached.endpoint;
 	g.held = q->cached.held;
+	g.tokens = mu_accounts_reserved(q->h->accounts, q->program, q->turn);
 	if (st == MU_BEGIN_OK && q->need_history &&
 	    mu_history_whole(q->h->history, q->previous))
 		pack_history(q->h, q->previous, &g.history);
--- a/src/inbound.c
+++ b/src/inbound.c
@@ -155,6 +155,8 @@
 		mu_buf_take(&r->out, n);
 		return (ssize_t)n;
 	}
+	if (r->cut)
+		return MHD_CONTENT_READER_END_WITH_ERROR;
 	if (r->ended)
 		return MHD_CONTENT_READER_END_OF_STREAM;
 	suspend(r);
@@ -187,7 +189,7 @@
 	if (complete)
 		r->ended = true;
 	else
-		r->broken = true;
+		r->cut = true;
 	resume(r);
 }
 
--- a/src/inbound.h
+++ b/src/inbound.h
@@ -54,8 +54,9 @@
 	struct MHD_Response *response; /* made and not queued yet */
 	int status;
 	struct mu_buf out; /* of a stream */
-	bool ended;
-	bool broken;
+	bool ended; /* after what is queued */
+	bool cut; /* broken off after what is queued */
+	bool broken; /* at once */
 };
 
 int mu_in_open(struct mu_inbound **in, struct mu_loop *l,
--- a/src/ledger.c
+++ b/src/ledger.c
@@ -89,6 +89,17 @@
 	return a;
 }
 
+uint64_t
+mu_ledger_reserve_rest(struct mu_ledger *l, uint64_t least)
+{
+	uint64_t rest = room(l);
+
+	if (rest == 0 || rest < least)
+		return 0;
+	l->reserved += rest;
+	return rest;
+}
+
 void
 mu_ledger_drawn(struct mu_ledger *l, uint64_t amount, uint64_t granted)
 {
--- a/src/ledger.h
+++ b/src/ledger.h
@@ -50,6 +50,9 @@
 uint64_t mu_ledger_lendable(uint64_t budget, uint64_t most);
 /* Reserves most tokens for a turn. */
 struct mu_ledger_answer mu_ledger_reserve(struct mu_ledger *l, uint64_t most);
+/* Reserves all that this daemon has left, at least `least`; returns the tokens
+ * reserved, 0 when there are fewer. */
+uint64_t mu_ledger_reserve_rest(struct mu_ledger *l, uint64_t least);
 /* The row now says granted; amount of it was drawn by this daemon just now. */
 void mu_ledger_drawn(struct mu_ledger *l, uint64_t amount, uint64_t granted);
 /* The guarantor has lent amount. */
--- a/src/targets.c
+++ b/src/targets.c
@@ -360,6 +360,7 @@
 		c[n].sent = x->sent;
 		c[n].others = others_now(x, now);
 		c[n].slots = x->info.slots;
+		c[n].warm = mu_up_warm(&x->pool);
 		c[n].near = strcmp(x->info.domain, t->domain) == 0;
 		c[n].slow = 1;
 		n++;
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -476,6 +476,17 @@
 	return NULL;
 }
 
+bool
+mu_up_warm(struct mu_up_pool *p)
+{
+	const struct mu_up_exchange *x;
+
+	if (cds_list_empty(&p->conns))
+		return false;
+	x = cds_list_first_entry(&p->conns, struct mu_up_exchange, node);
+	return mu_loop_now(p->loop) - x->idle_since < p->trusted;
+}
+
 /* An idle connection that has nothing to read and was used lately enough. */
 static struct mu_up_exchange *
 conn_idle(struct mu_up_pool *p)
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -81,6 +81,8 @@
 /* Ends an exchange without a call of end; closes its connection.  False only
  * if no byte of the request left this process. */
 bool mu_up_cancel(struct mu_up_exchange *x);
+/* Whether the next exchange would use a kept connection. */
+bool mu_up_warm(struct mu_up_pool *p);
 const char *mu_up_end_name(enum mu_up_end end);
 
 #endif
--- a/test/test_account.c
+++ b/test/test_account.c
@@ -160,6 +160,9 @@
 {
 	struct fixture *f = *state;
 
+	/* No loan: the turn depends on the draw. */
+	mu_guarantor_free(f->guarantor);
+	f->guarantor = NULL;
 	f->mem->fault = MEM_LOST;
 	assert_int_equal(reserve(f, 0, "t1", 500, 300), MU_BEGIN_UNAVAILABLE);
 	f->mem->fault = MEM_WELL;
@@ -454,6 +457,56 @@
 	settle(f, 0, "t2", MOST);
 }
 
+/* The load: some parts of the store are silent for seconds, the one with the
+ * program's row among them, and its budget is that of a few turns.  Its turns
+ * go on, the first after two attempts that had no answer, the others at once
+ * with what is left of the loan. */
+static void
+test_row_in_a_part_that_is_down(void **state)
+{
+	struct fixture *f = *state;
+	uint64_t reserved, spent = 0;
+	mu_us began = mu_loop_now(f->loop);
+	unsigned n;
+
+	f->mem->fault = MEM_SILENT;
+	assert_int_equal(reserve(f, 0, "t0", 3 * MOST, 1000), MU_BEGIN_OK);
+	assert_true(mu_loop_now(f->loop) - began <= 200 * MU_US_PER_MS);
+	settle(f, 0, "t0", 20);
+	spent += 20;
+	for (n = 1; n < 10; n++) {
+		began = mu_loop_now(f->loop);
+		if (reserve(f, 0, "t", 3 * MOST, 1000) != MU_BEGIN_OK)
+			break;
+		assert_true(mu_loop_now(f->loop) - began < 20 * MU_US_PER_MS);
+		reserved = mu_accounts_reserved(f->d[0].accounts, "p", "t");
+		assert_true(reserved >= MOST / 4 && reserved <= MOST);
+		settle(f, 0, "t", 20);
+		spent += 20;
+	}
+	assert_int_equal(n, 10);
+	/* With all that is used later, within the budget and one turn. */
+	f->mem->fault = MEM_WELL;
+	run_ms(f->loop, &f->clock, 3000);
+	spent += run_turns(f, 0, 3 * MOST, MOST, 100);
+	spent += run_turns(f, 1, 3 * MOST, MOST, 100);
+	assert_int_equal(f->status, MU_BEGIN_EXHAUSTED);
+	assert_true(spent <= 3 * MOST + MOST);
+}
+
+/* What is left is no turn's worth by far: it is not begun. */
+static void
+test_too_little_is_left(void **state)
+{
+	struct fixture *f = *state;
+
+	f->mem->fault = MEM_SILENT;
+	assert_int_equal(reserve(f, 0, "t0", 3 * MOST, 1000), MU_BEGIN_OK);
+	settle(f, 0, "t0", MOST - 20);
+	assert_int_equal(
+	    reserve(f, 0, "t1", 3 * MOST, 500), MU_BEGIN_UNAVAILABLE);
+}
+
 int
 main(void)
 {
@@ -464,6 +517,8 @@
 	    T(test_loans_of_the_dead_count_as_spent),
 	    T(test_release_is_written_down),
 	    T(test_small_budget_without_its_guarantor),
+	    T(test_row_in_a_part_that_is_down),
+	    T(test_too_little_is_left),
 	    T(test_exact_to_the_last_turn),
 	    T(test_draw_without_answer_is_found_again),
 	    T(test_several_draws_without_answer),
--- a/test/test_call.c
+++ b/test/test_call.c
@@ -169,6 +169,12 @@
 	"\r\nProgram-Id: p1\r\nToken-Budget: 3000\r\nToken-Usage: " \
 	"10,289\r\n" more "Content-Length: 2\r\n\r\n" id
 
+/* A turn of a program whose budget is that of two turns of 68 tokens. */
+#define SMALL(id) \
+	"POST /check/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: " id \
+	"\r\nProgram-Id: p2\r\nToken-Budget: 136\r\nToken-Usage: 10,68\r\n" \
+	"Content-Length: 2\r\n\r\n" id
+
 static void
 test_plain_call_passes_through(void **state)
 {
@@ -474,6 +480,31 @@
 	kit_caller_free(c);
 }
 
+/* A turn that begins with less than it may use is cut off before it uses
+ * more: the caller gets what was reserved and no end. */
+static void
+test_turn_keeps_its_reservation(void **state)
+{
+	static const struct kit_step s[] = {
+	    {CHUNKED PIECE("1") LAST, false, false},
+	    {CHUNKED PIECE("1") PIECE("2") PIECE("3") PIECE("4") LAST, false,
+		false}};
+	struct fixture *f = *state;
+	struct kit_caller *c;
+
+	(void)endpoint(f, "llm", s, 2);
+	ready(f);
+	f->mem->fault = MEM_SILENT;
+	/* May use 4 events of 17 tokens, as many as the loan is for. */
+	expect(f, SMALL("c1"), 900, "\r\n0\r\n\r\n");
+	c = call(f, SMALL("c2"), 1500);
+	assert_non_null(strstr(kit_got(c), "piece 3"));
+	assert_null(strstr(kit_got(c), "piece 4"));
+	assert_true(c->closed);
+	assert_null(strstr(kit_got(c), "\r\n0\r\n\r\n"));
+	kit_caller_free(c);
+}
+
 /* An endpoint says in an answer that it leaves, while the list says ready: the
  * answer is delivered and nothing new goes there. */
 static void
@@ -633,6 +664,7 @@
 	    T(test_dead_endpoint_is_left_alone),
 	    T(test_waits_without_requests_of_its_own),
 	    T(test_lines_for_a_failed_request),
+	    T(test_turn_keeps_its_reservation),
 	    T(test_plain_answer_says_leaving),
 	    T(test_failure_says_leaving),
 	    T(test_refusal_says_leaving),
--- a/test/test_choose.c
+++ b/test/test_choose.c
@@ -70,6 +70,26 @@
 	assert_int_not_equal(mu_choose(c, N, &usual, &rng).index, 1);
 }
 
+/* The load: hundreds of daemons that each make a call now and then. Equals are
+ * chosen by the connection that is kept, but no fuller or dearer one is. */
+static void
+test_kept_connections_first_among_equals(void **state)
+{
+	struct mu_candidate c[N];
+	uint64_t rng = 1;
+	int i;
+
+	(void)state;
+	idle(c);
+	c[1].warm = true;
+	c[5].warm = true; /* of another failure domain */
+	for (i = 0; i < 50; i++)
+		assert_int_equal(mu_choose(c, N, &usual, &rng).index, 1);
+	c[1].sent = 2;
+	for (i = 0; i < 50; i++)
+		assert_int_not_equal(mu_choose(c, N, &usual, &rng).index, 1);
+}
+
 static void
 test_slow_and_unusable_ones_are_left(void **state)
 {
@@ -204,6 +224,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_near_ones_first_until_they_are_fuller),
 	    cmocka_unit_test(test_cached_prompt_keeps_a_program_in_place),
+	    cmocka_unit_test(test_kept_connections_first_among_equals),
 	    cmocka_unit_test(test_slow_and_unusable_ones_are_left),
 	    cmocka_unit_test(test_equals_are_drawn_at_random),
 	    cmocka_unit_test(
--- a/test/test_ledger.c
+++ b/test/test_ledger.c
@@ -149,6 +149,20 @@
 	assert_int_equal(mu_ledger_reserve(&l, MOST).kind, MU_LEDGER_DRAW);
 }
 
+static void
+test_rest_is_reserved_whole_or_not(void **state)
+{
+	struct mu_ledger l = {.budget = 1000};
+
+	(void)state;
+	mu_ledger_borrowed(&l, 100);
+	assert_int_equal(mu_ledger_reserve_rest(&l, 101), 0);
+	assert_int_equal(mu_ledger_reserve_rest(&l, 25), 100);
+	assert_int_equal(mu_ledger_reserve_rest(&l, 0), 0);
+	mu_ledger_settle(&l, 100, 40);
+	assert_int_equal(mu_ledger_reserve_rest(&l, 25), 60);
+}
+
 int
 main(void)
 {
@@ -158,6 +172,7 @@
 	    cmocka_unit_test(test_exhausted_only_without_room_for_the_most),
 	    cmocka_unit_test(test_spare_is_given_back_when_nearly_drawn),
 	    cmocka_unit_test(test_many_homes_never_overspend),
+	    cmocka_unit_test(test_rest_is_reserved_whole_or_not),
 	    cmocka_unit_test(test_half_is_left_after_home_and_guarantor),
 	};
 
