Repeat elsewhere what an endpoint turned away

Change: a repetition goes to another endpoint when there is one; a reset at once on a new connection counts as the endpoint being down, which peers hear; when every endpoint was down a moment ago they are tried all the same.

--- a/src/call.c
+++ b/src/call.c
@@ -186,6 +186,7 @@
 	 * the route allows. */
 	c->resend_same = c->ran >= c->route->max_endpoints ||
 			 c->route->kind == MU_ROUTE_STREAM;
+	memcpy(c->lost_at, c->same, sizeof(c->lost_at));
 	mu_count(MU_M_RETRIES, 1);
 	mu_call_again(c);
 }
--- a/src/call_private.h
+++ b/src/call_private.h
@@ -52,6 +52,8 @@
 	unsigned ran; /* endpoints that may have run it */
 	bool resend_same; /* to the endpoint that broke off, if it is there */
 	char same[MU_NAME_LEN];
+	char lost_at[MU_NAME_LEN]; /* endpoint that broke off last: another one
+				      is tried first */
 	char tried[MU_CALL_TRIES]
 		  [MU_NAME_LEN]; /* refused, not to be asked again */
 	unsigned ntried;
--- a/src/callplace.c
+++ b/src/callplace.c
@@ -49,6 +49,24 @@
 	}
 }
 
+/* An endpoint that fails fast has places free, and would get each repetition of
+ * a request again. */
+static void
+avoid_lost(const struct mu_call *c, struct mu_candidate *cand,
+    struct mu_target *const *who, uint32_t n)
+{
+	uint32_t i, at = n;
+	bool other = false;
+
+	for (i = 0; i < n; i++)
+		if (strcmp(who[i]->info.name, c->lost_at) == 0)
+			at = i;
+		else if (cand[i].usable)
+			other = true;
+	if (at < n && other)
+		cand[at].usable = false;
+}
+
 /* Leaves usable what this call may be sent to. */
 static void
 narrow(const struct mu_call *c, struct mu_candidate *cand,
@@ -63,8 +81,10 @@
 		if (c->resend_same && strcmp(who[i]->info.name, c->same) == 0)
 			there = true;
 	}
-	if (!there)
+	if (!there) {
+		avoid_lost(c, cand, who, n);
 		return;
+	}
 	for (i = 0; i < n; i++)
 		if (strcmp(who[i]->info.name, c->same) == 0) {
 			cand[i].usable = !was_tried(c, c->same);
--- a/src/targets.c
+++ b/src/targets.c
@@ -340,23 +340,32 @@
 	return places > 0 ? taken / places : 0;
 }
 
+/* What rules an endpoint out for longer than a moment. */
+static bool
+takes_work(const struct mu_target *x, mu_us now)
+{
+	return staying(x, now) && now >= x->full_until &&
+	       mu_health_state(&mu_targets_eject, &x->health, now) !=
+		   MU_HEALTH_EJECTED;
+}
+
 uint32_t
 mu_group_view(const struct mu_targets *t, const struct mu_group *g,
     struct mu_candidate *c, struct mu_target **who)
 {
 	mu_us now = mu_loop_now(t->loop);
 	struct mu_target *x;
-	uint32_t n = 0;
+	bool any = false;
+	uint32_t i, n = 0;
 
 	cds_list_for_each_entry (x, &g->targets, in_group) {
 		if (n == MU_CHOOSE_MAX)
 			break;
 		who[n] = x;
 		memset(&c[n], 0, sizeof(c[n]));
-		c[n].usable = staying(x, now) && now >= x->full_until &&
-			      now >= x->down_until && now >= x->down_told &&
-			      mu_health_state(&mu_targets_eject, &x->health,
-				  now) != MU_HEALTH_EJECTED;
+		c[n].usable = takes_work(x, now) && now >= x->down_until &&
+			      now >= x->down_told;
+		any = any || c[n].usable;
 		c[n].sent = x->sent;
 		c[n].others = others_now(x, now);
 		c[n].slots = x->info.slots;
@@ -365,6 +374,9 @@
 		c[n].slow = 1;
 		n++;
 	}
+	/* None is known to be up: one that was down just now may be back. */
+	for (i = 0; i < n && !any; i++)
+		c[i].usable = takes_work(who[i], now);
 	return n;
 }
 
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -12,7 +12,9 @@
  *
  * Endpoints may drop idle connections without a word; what is sent next is
  * lost.  So each pool learns for how long an idle connection can be trusted:
- * a loss halves that time, uses that went well raise it again.
+ * a loss halves that time, uses that went well raise it again.  The other idle
+ * connections are closed at such a loss, so that a repeated request meets a new
+ * one.
  */
 #include <errno.h>
 #include <http_parser.h>
@@ -40,6 +42,8 @@
 #define TRUST_MIN_US (100 * MU_US_PER_MS)
 #define TRUST_RAISE 8 /* a good use raises it by a part of so many */
 #define READ_BYTES 16384
+/* From the request to the reset: less than nearly all calls take. */
+#define TURNED_AWAY_US (5 * MU_US_PER_MS)
 #define READS_AT_ONCE 8 /* of one connection, before others have a turn */
 #define SKIP_MAX 3 /* answers to other requests before one's own */
 /* Bytes that are not of the answer's body: head, framing of some ten thousand
@@ -64,6 +68,7 @@
 	bool cancelled; /* while reading */
 	bool started; /* first byte of the own answer came */
 	unsigned skipped;
+	mu_us began; /* of the current request */
 	size_t overhead; /* bytes that were not of the answer's body */
 	mu_us idle_limit;
 	mu_us idle_since;
@@ -81,8 +86,8 @@
 const char *
 mu_up_end_name(enum mu_up_end end)
 {
-	static const char *const names[] = {
-	    "whole", "connect", "lost", "malformed", "out_of_memory"};
+	static const char *const names[] = {"whole", "connect", "lost",
+	    "turned_away", "malformed", "out_of_memory"};
 
 	return names[end];
 }
@@ -156,6 +161,12 @@
 
 	if (end == MU_UP_LOST && !x->started)
 		distrust(x);
+	if (end == MU_UP_LOST && !x->started && x->idled == 0 &&
+	    mu_loop_now(x->pool->loop) - x->began < TURNED_AWAY_US)
+		end = MU_UP_TURNED_AWAY;
+	/* The endpoint may have restarted: what else was kept is as stale. */
+	if (end == MU_UP_LOST && !x->started && x->idled > 0)
+		mu_up_pool_clear(x->pool);
 	conn_free(x);
 	if (busy)
 		hooks.end(hooks.arg, end, sent);
@@ -527,6 +538,7 @@
 	x->sent = x->skip = x->done = x->started = false;
 	x->skipped = 0;
 	x->overhead = 0;
+	x->began = mu_loop_now(p->loop);
 	http_parser_init(&x->parser, HTTP_RESPONSE);
 	x->parser.data = x;
 	if (mu_buf_printf(&x->out, "%s %s HTTP/1.1\r\n%s", req->method,
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -29,6 +29,9 @@
 	MU_UP_WHOLE, /* the answer came complete */
 	MU_UP_CONNECT, /* no connection was made */
 	MU_UP_LOST, /* closed or reset before the answer's end */
+	MU_UP_TURNED_AWAY, /* a new connection was reset at once: the endpoint
+			      is down or has too many; it may have run all
+			      the same */
 	MU_UP_MALFORMED, /* bytes that are no answer */
 	MU_UP_NOMEM
 };
--- a/test/test_upstream.c
+++ b/test/test_upstream.c
@@ -184,6 +184,37 @@
 	assert_true(f->pool.trusted < trusted);
 }
 
+/* An endpoint restarts while several connections to it are kept: one request is
+ * lost, and the next meets the new process. */
+static void
+test_one_loss_ends_all_kept_connections(void **state)
+{
+	static const struct kit_step s[] = {
+	    {NULL, false, false},
+	    {NULL, false, false},
+	    {NULL, false, false},
+	    {NULL, false, true},
+	    {OK_KEPT, false, false},
+	};
+	struct fixture *f = *state;
+	unsigned i;
+
+	script(f, s, 5);
+	for (i = 0; i < 3; i++)
+		assert_non_null(send_one(f));
+	(void)kit_until(f->loop, 1000, f->end->requests == 3);
+	for (i = 0; i < 3; i++)
+		kit_send(f->end->conn[i].watch.fd, OK_KEPT, "r1");
+	assert_true(kit_until(f->loop, 1000, f->ends == 3));
+	assert_int_equal(f->pool.idle, 3);
+	run_one(f);
+	assert_int_equal(f->how, MU_UP_LOST);
+	assert_int_equal(f->pool.idle, 0);
+	run_one(f);
+	assert_int_equal(f->how, MU_UP_WHOLE);
+	assert_int_equal(f->end->accepted, 4);
+}
+
 static void
 test_answers_without_length(void **state)
 {
@@ -291,6 +322,7 @@
 	    T(test_foreign_answer_is_skipped),
 	    T(test_extra_bytes_end_the_connection),
 	    T(test_lost_on_a_kept_connection),
+	    T(test_one_loss_ends_all_kept_connections),
 	    T(test_answers_without_length),
 	    T(test_no_answer_in_the_protocol),
 	    T(test_nobody_listens),
