Keep endpoints for two seconds after an outage of their table

Change: when the endpoints' table has not answered for a second, entries that go within 2.2 s of its return are kept, then removed unless they are back. Test: test_targets, six entries of which four come back, one leaves and one is gone. Daemons that started meanwhile still have none.

--- a/src/serve.c
+++ b/src/serve.c
@@ -24,6 +24,9 @@
 /* Twice within the time that an endpoint serves on after it says that it
  * leaves. */
 #define ENDPOINT_EVERY_MS 800
+/* By the platform, and the way. */
+#define ENTRIES_BACK_US (2200 * MU_US_PER_MS)
+#define DOUBTS_OF_OUTAGE 5 /* heartbeats: a second, not a few slow answers */
 #define DAEMON_WAIT_MS 2000
 #define HEARTBEAT_MS 200
 #define SILENCE_MS 700 /* three heartbeats and the way */
@@ -115,6 +118,24 @@
 	}
 }
 
+/*
+ * Entries of endpoints lapse while the store is out, and are back within two
+ * seconds of its return if the endpoints live.  Until then the endpoints are
+ * kept, or a service would have none for that time.
+ */
+static void
+watch_endpoints_table(struct mu_serve *s)
+{
+	bool out =
+	    !mu_store_ok(s->store) ||
+	    mu_store_part_suspect(s->store, s->dialect->endpoint_table, "");
+
+	s->doubts = out ? s->doubts + 1 : 0;
+	if (s->doubts >= DOUBTS_OF_OUTAGE)
+		mu_targets_hold(
+		    &s->targets, mu_loop_now(s->loop) + ENTRIES_BACK_US);
+}
+
 /* Other daemons. */
 
 static void
@@ -214,6 +235,7 @@
 {
 	struct mu_serve *s = arg;
 
+	watch_endpoints_table(s);
 	b->leaving = s->leaving;
 	b->ready = mu_serve_ready(s);
 	b->store_ok = mu_store_ok(s->store);
--- a/src/serve.h
+++ b/src/serve.h
@@ -77,6 +77,7 @@
 	struct mu_follow *follow_daemons;
 	struct mu_timer announce;
 	struct mu_timer stats;
+	unsigned doubts; /* heartbeats in a row without the endpoints' table */
 	bool announced; /* this daemon's row is in the store */
 };
 
--- a/src/targets.c
+++ b/src/targets.c
@@ -162,6 +162,7 @@
 		return;
 	}
 	x->mark = true;
+	x->lapsed = false;
 	/* Older than what is known of this instance. */
 	if (info->born != 0 && info->sequence < x->info.sequence)
 		return;
@@ -173,13 +174,26 @@
 	x->info = *info;
 }
 
+static void
+entry_gone(struct mu_targets *t, struct mu_target *x, const char *why)
+{
+	if (mu_loop_now(t->loop) >= t->hold_until) {
+		unlist(t, x, why);
+		return;
+	}
+	if (!x->lapsed)
+		mu_log(MU_LOG_INFO, "targets", "endpoint_lapsed", "{s:s,s:s}",
+		    "endpoint", x->info.name, "why", why);
+	x->lapsed = true;
+}
+
 void
 mu_targets_remove(struct mu_targets *t, const char *name)
 {
 	struct mu_target *x = find(t, name);
 
 	if (x != NULL)
-		unlist(t, x, "entry_removed");
+		entry_gone(t, x, "entry_removed");
 }
 
 /* Calls fn for every listed endpoint, which fn may unlist. */
@@ -206,7 +220,14 @@
 unlist_unmarked(struct mu_targets *t, struct mu_target *x)
 {
 	if (!x->mark)
-		unlist(t, x, "not_in_list");
+		entry_gone(t, x, "not_in_list");
+}
+
+static void
+unlist_lapsed(struct mu_targets *t, struct mu_target *x)
+{
+	if (x->lapsed)
+		unlist(t, x, "lapsed");
 }
 
 static void
@@ -215,6 +236,21 @@
 	unlist(t, x, "stopping");
 }
 
+static void
+on_hold_end(void *arg)
+{
+	each(arg, unlist_lapsed);
+}
+
+void
+mu_targets_hold(struct mu_targets *t, mu_us until)
+{
+	t->hold_until = until;
+	t->hold.fn = on_hold_end;
+	t->hold.arg = t;
+	mu_timer_set(t->loop, &t->hold, until);
+}
+
 void
 mu_targets_list_begin(struct mu_targets *t)
 {
@@ -234,6 +270,7 @@
 	struct mu_group *g;
 	size_t i;
 
+	mu_timer_clear(t->loop, &t->hold);
 	each(t, unlist_all);
 	for (i = 0; i < t->groups.nbuckets; i++)
 		for (n = t->groups.bucket[i]; n != NULL; n = next) {
--- a/src/targets.h
+++ b/src/targets.h
@@ -42,6 +42,7 @@
 	bool mark; /* named by the list being read */
 	bool said_leaving; /* in an answer to this daemon */
 	mu_us leaving_told; /* until then, as peers tell */
+	bool lapsed; /* its entry is gone, see mu_targets_hold() */
 	struct mu_up_pool pool;
 	uint32_t sent; /* requests of this daemon there now */
 	uint32_t peers; /* requests of peers there, by their heartbeats */
@@ -86,6 +87,8 @@
 	struct mu_hmap by_name;
 	struct mu_hmap groups;
 	uint64_t rng;
+	mu_us hold_until;
+	struct mu_timer hold; /* its end */
 	struct mu_left left[MU_LEFT_MAX];
 	unsigned next_left;
 };
@@ -100,6 +103,9 @@
 void mu_targets_learn(struct mu_targets *t, const struct mu_target_info *info);
 /* The endpoint's entry is gone. */
 void mu_targets_remove(struct mu_targets *t, const char *name);
+/* Entries that go until then may only have lapsed while the store was out:
+ * their endpoints are kept, and removed then unless they have entries again. */
+void mu_targets_hold(struct mu_targets *t, mu_us until);
 /* Reading a whole list: what is not learned between these two is removed. */
 void mu_targets_list_begin(struct mu_targets *t);
 void mu_targets_list_end(struct mu_targets *t);
--- a/test/test_targets.c
+++ b/test/test_targets.c
@@ -176,6 +176,43 @@
 	mu_targets_peer_leaving(&f->targets, "nobody", 1);
 }
 
+/* The load: the store was out, all entries of a service have lapsed, and most
+ * come back within two seconds. */
+static void
+test_lapsed_entries_come_back(void **state)
+{
+	struct fixture *f = *state;
+	char name[8];
+	int i;
+
+	for (i = 0; i < 6; i++) {
+		(void)snprintf(name, sizeof(name), "e%d", i);
+		entry(f, name, 100, 5, false);
+	}
+	mu_targets_hold(
+	    &f->targets, mu_loop_now(f->loop) + 2200 * MU_US_PER_MS);
+	mu_targets_remove(&f->targets, "e0");
+	mu_targets_list_begin(&f->targets);
+	mu_targets_list_end(&f->targets);
+	for (i = 0; i < 6; i++) {
+		(void)snprintf(name, sizeof(name), "e%d", i);
+		assert_true(usable(f, name));
+	}
+	run_ms(f->loop, &f->clock, 1500);
+	for (i = 1; i < 6; i++) {
+		(void)snprintf(name, sizeof(name), "e%d", i);
+		entry(f, name, 100, 6, i == 5);
+	}
+	assert_false(usable(f, "e5")); /* leaves */
+	run_ms(f->loop, &f->clock, 1000);
+	assert_int_equal(f->targets.by_name.count, 5);
+	assert_false(usable(f, "e0"));
+	assert_true(usable(f, "e1"));
+	/* Outside such a time an entry that goes is gone. */
+	mu_targets_remove(&f->targets, "e1");
+	assert_int_equal(f->targets.by_name.count, 4);
+}
+
 int
 main(void)
 {
@@ -187,6 +224,7 @@
 	    T(test_listed_anew),
 	    T(test_stale_entry),
 	    T(test_peer_says_leaving),
+	    T(test_lapsed_entries_come_back),
 #undef T
 	};
 
