Daemons that start while the store is out learn from peers

Change: seed.c keeps the rows as last read; a daemon that the store does not answer asks a peer that dials it, whose heartbeats it hears though it does not know it. A peer's readiness is forgotten with its link. Test: test_serve, a daemon that is started anew while the store is silent to all; it stays unready on the old code.

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1087,6 +1087,96 @@
   assert(message->base.descriptor == &mu__guaranteed__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mu__seed_ask__init
+                     (Mu__SeedAsk         *message)
+{
+  static const Mu__SeedAsk init_value = MU__SEED_ASK__INIT;
+  *message = init_value;
+}
+size_t mu__seed_ask__get_packed_size
+                     (const Mu__SeedAsk *message)
+{
+  assert(message->base.descriptor == &mu__seed_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mu__seed_ask__pack
+                     (const Mu__SeedAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mu__seed_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mu__seed_ask__pack_to_buffer
+                     (const Mu__SeedAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mu__seed_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mu__SeedAsk *
+       mu__seed_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mu__SeedAsk *)
+     protobuf_c_message_unpack (&mu__seed_ask__descriptor,
+                                allocator, len, data);
+}
+void   mu__seed_ask__free_unpacked
+                     (Mu__SeedAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mu__seed_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mu__seed__init
+                     (Mu__Seed         *message)
+{
+  static const Mu__Seed init_value = MU__SEED__INIT;
+  *message = init_value;
+}
+size_t mu__seed__get_packed_size
+                     (const Mu__Seed *message)
+{
+  assert(message->base.descriptor == &mu__seed__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mu__seed__pack
+                     (const Mu__Seed *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mu__seed__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mu__seed__pack_to_buffer
+                     (const Mu__Seed *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mu__seed__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mu__Seed *
+       mu__seed__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mu__Seed *)
+     protobuf_c_message_unpack (&mu__seed__descriptor,
+                                allocator, len, data);
+}
+void   mu__seed__free_unpacked
+                     (Mu__Seed *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mu__seed__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mu__frame__init
                      (Mu__Frame         *message)
 {
@@ -3518,7 +3608,96 @@
   (ProtobufCMessageInit) mu__guaranteed__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mu__frame__field_descriptors[14] =
+static const ProtobufCFieldDescriptor mu__seed_ask__field_descriptors[1] =
+{
+  {
+    "host",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mu__SeedAsk, host),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mu__seed_ask__field_indices_by_name[] = {
+  0,   /* field[0] = host */
+};
+static const ProtobufCIntRange mu__seed_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor mu__seed_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mu.SeedAsk",
+  "SeedAsk",
+  "Mu__SeedAsk",
+  "mu",
+  sizeof(Mu__SeedAsk),
+  1,
+  mu__seed_ask__field_descriptors,
+  mu__seed_ask__field_indices_by_name,
+  1,  mu__seed_ask__number_ranges,
+  (ProtobufCMessageInit) mu__seed_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mu__seed__field_descriptors[2] =
+{
+  {
+    "rows",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Mu__Seed, n_rows),
+    offsetof(Mu__Seed, rows),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Seed, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mu__seed__field_indices_by_name[] = {
+  1,   /* field[1] = age_ms */
+  0,   /* field[0] = rows */
+};
+static const ProtobufCIntRange mu__seed__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor mu__seed__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mu.Seed",
+  "Seed",
+  "Mu__Seed",
+  "mu",
+  sizeof(Mu__Seed),
+  2,
+  mu__seed__field_descriptors,
+  mu__seed__field_indices_by_name,
+  1,  mu__seed__number_ranges,
+  (ProtobufCMessageInit) mu__seed__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mu__frame__field_descriptors[16] =
 {
   {
     "hello",
@@ -3688,6 +3867,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "seed_ask",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mu__Frame, body_case),
+    offsetof(Mu__Frame, seed_ask),
+    &mu__seed_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seed",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mu__Frame, body_case),
+    offsetof(Mu__Frame, seed),
+    &mu__seed__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mu__frame__field_indices_by_name[] = {
   6,   /* field[6] = beat */
@@ -3703,12 +3906,14 @@
   10,   /* field[10] = relay */
   11,   /* field[11] = relayed */
   4,   /* field[4] = result */
+  15,   /* field[15] = seed */
+  14,   /* field[14] = seed_ask */
   9,   /* field[9] = settle */
 };
 static const ProtobufCIntRange mu__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor mu__frame__descriptor =
 {
@@ -3718,7 +3923,7 @@
   "Mu__Frame",
   "mu",
   sizeof(Mu__Frame),
-  14,
+  16,
   mu__frame__field_descriptors,
   mu__frame__field_indices_by_name,
   1,  mu__frame__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -39,6 +39,8 @@
 typedef struct Mu__TurnRecords Mu__TurnRecords;
 typedef struct Mu__Guarantee Mu__Guarantee;
 typedef struct Mu__Guaranteed Mu__Guaranteed;
+typedef struct Mu__SeedAsk Mu__SeedAsk;
+typedef struct Mu__Seed Mu__Seed;
 typedef struct Mu__Frame Mu__Frame;
 
 
@@ -716,6 +718,41 @@
     , 0, 0, 0 }
 
 
+/*
+ * To a peer, from a daemon that starts and cannot read the store: asks for what
+ * the peer knows.
+ */
+struct  Mu__SeedAsk
+{
+  ProtobufCMessage base;
+  char *host;
+};
+#define MU__SEED_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mu__seed_ask__descriptor) \
+    , (char *)protobuf_c_empty_string }
+
+
+/*
+ * Rows as the peer last read them.
+ */
+struct  Mu__Seed
+{
+  ProtobufCMessage base;
+  /*
+   * a StoreRow each
+   */
+  size_t n_rows;
+  ProtobufCBinaryData *rows;
+  /*
+   * since the store last answered the peer
+   */
+  uint32_t age_ms;
+};
+#define MU__SEED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mu__seed__descriptor) \
+    , 0,NULL, 0 }
+
+
 typedef enum {
   MU__FRAME__BODY__NOT_SET = 0,
   MU__FRAME__BODY_HELLO = 1,
@@ -731,7 +768,9 @@
   MU__FRAME__BODY_RELAY = 11,
   MU__FRAME__BODY_RELAYED = 12,
   MU__FRAME__BODY_GUARANTEE = 13,
-  MU__FRAME__BODY_GUARANTEED = 14
+  MU__FRAME__BODY_GUARANTEED = 14,
+  MU__FRAME__BODY_SEED_ASK = 15,
+  MU__FRAME__BODY_SEED = 16
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MU__FRAME__BODY__CASE)
 } Mu__Frame__BodyCase;
 
@@ -754,6 +793,8 @@
     Mu__Relayed *relayed;
     Mu__Guarantee *guarantee;
     Mu__Guaranteed *guaranteed;
+    Mu__SeedAsk *seed_ask;
+    Mu__Seed *seed;
   };
 };
 #define MU__FRAME__INIT \
@@ -1217,6 +1258,44 @@
 void   mu__guaranteed__free_unpacked
                      (Mu__Guaranteed *message,
                       ProtobufCAllocator *allocator);
+/* Mu__SeedAsk methods */
+void   mu__seed_ask__init
+                     (Mu__SeedAsk         *message);
+size_t mu__seed_ask__get_packed_size
+                     (const Mu__SeedAsk   *message);
+size_t mu__seed_ask__pack
+                     (const Mu__SeedAsk   *message,
+                      uint8_t             *out);
+size_t mu__seed_ask__pack_to_buffer
+                     (const Mu__SeedAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Mu__SeedAsk *
+       mu__seed_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mu__seed_ask__free_unpacked
+                     (Mu__SeedAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Mu__Seed methods */
+void   mu__seed__init
+                     (Mu__Seed         *message);
+size_t mu__seed__get_packed_size
+                     (const Mu__Seed   *message);
+size_t mu__seed__pack
+                     (const Mu__Seed   *message,
+                      uint8_t             *out);
+size_t mu__seed__pack_to_buffer
+                     (const Mu__Seed   *message,
+                      ProtobufCBuffer     *buffer);
+Mu__Seed *
+       mu__seed__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mu__seed__free_unpacked
+                     (Mu__Seed *message,
+                      ProtobufCAllocator *allocator);
 /* Mu__Frame methods */
 void   mu__frame__init
                      (Mu__Frame         *message);
@@ -1310,6 +1389,12 @@
 typedef void (*Mu__Guaranteed_Closure)
                  (const Mu__Guaranteed *message,
                   void *closure_data);
+typedef void (*Mu__SeedAsk_Closure)
+                 (const Mu__SeedAsk *message,
+                  void *closure_data);
+typedef void (*Mu__Seed_Closure)
+                 (const Mu__Seed *message,
+                  void *closure_data);
 typedef void (*Mu__Frame_Closure)
                  (const Mu__Frame *message,
                   void *closure_data);
@@ -1347,6 +1432,8 @@
 extern const ProtobufCMessageDescriptor mu__turn_records__descriptor;
 extern const ProtobufCMessageDescriptor mu__guarantee__descriptor;
 extern const ProtobufCMessageDescriptor mu__guaranteed__descriptor;
+extern const ProtobufCMessageDescriptor mu__seed_ask__descriptor;
+extern const ProtobufCMessageDescriptor mu__seed__descriptor;
 extern const ProtobufCMessageDescriptor mu__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -134,6 +134,7 @@
 	if (p != NULL) {
 		p->link = NULL;
 		p->connected = false;
+		p->heard = 0; /* it may be another process that answers next */
 		set_up(l->mesh, p);
 	}
 	cds_list_for_each_entry_safe (a, next, &l->asks, node)
@@ -226,6 +227,8 @@
 {
 	switch (f->body_case) {
 	case MU__FRAME__BODY_BEAT:
+		if (l->mesh->hooks.beat != NULL)
+			l->mesh->hooks.beat(l->mesh->hooks.arg, l, f->beat);
 		on_beat(l->mesh, f);
 		break;
 	case MU__FRAME__BODY_GRANTED:
@@ -241,6 +244,8 @@
 	case MU__FRAME__BODY_SETTLE:
 	case MU__FRAME__BODY_RELAY:
 	case MU__FRAME__BODY_GUARANTEE:
+	case MU__FRAME__BODY_SEED_ASK:
+	case MU__FRAME__BODY_SEED:
 		l->mesh->hooks.request(l->mesh->hooks.arg, l, f);
 		break;
 	default: /* of a newer release */
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -55,7 +55,9 @@
 	/* May be NULL.  before is the heartbeat before p->beat, or NULL. */
 	void (*heard)(void *arg, struct mu_peer *p, const Mu__Beat *before);
 	void (*changed)(void *arg, struct mu_peer *p); /* up or down */
-	/* A BEGIN, SETTLE, RELAY or GUARANTEE. */
+	/* May be NULL.  Any heartbeat, also of a daemon that is not known. */
+	void (*beat)(void *arg, struct mu_mesh_link *from, const Mu__Beat *b);
+	/* A BEGIN, SETTLE, RELAY, GUARANTEE, SEED_ASK or SEED. */
 	void (*request)(
 	    void *arg, struct mu_mesh_link *from, const Mu__Frame *f);
 };
--- a/src/serve.c
+++ b/src/serve.c
@@ -14,6 +14,7 @@
 #include "loans.h"
 #include "log.h"
 #include "metric.h"
+#include "seed.h"
 #include "serve.h"
 #include "view.h"
 
@@ -32,6 +33,8 @@
 #define SILENCE_MS 700 /* three heartbeats and the way */
 #define HISTORY_BYTES ((size_t)32 << 20) /* a fifth of the smallest host */
 #define ANNOUNCE_LIMIT_US (2 * MU_US_PER_S)
+#define SEED_AGAIN_US (300 * MU_US_PER_MS) /* some times the way of a seed */
+#define SEED_AGE_MAX_US (3600 * MU_US_PER_S) /* older counts as unknown */
 #define STATS_US (10 * MU_US_PER_S)
 #define ANNOUNCE_AGAIN_US (200 * MU_US_PER_MS)
 
@@ -50,6 +53,7 @@
 
 	if (strcmp(row->key, s->dialect->config_key) != 0 || row->removed)
 		return;
+	mu_seed_row(s->seed, row);
 	r = s->dialect->read_routes(row);
 	if (r == NULL) {
 		mu_log(MU_LOG_ERROR, "serve", "config_unreadable", "{s:I}",
@@ -76,6 +80,7 @@
 {
 	struct mu_serve *s = arg;
 
+	mu_seed_drop(s->seed, s->dialect->endpoint_table);
 	mu_targets_list_begin(&s->targets);
 }
 
@@ -107,6 +112,7 @@
 	struct mu_serve *s = arg;
 	struct mu_target_info info;
 
+	mu_seed_row(s->seed, row);
 	if (row->removed) {
 		mu_targets_remove(&s->targets, row->key);
 	} else if (s->dialect->read_endpoint(row, &info)) {
@@ -144,6 +150,7 @@
 	struct mu_serve *s = arg;
 	Mu__DaemonRow *d;
 
+	mu_seed_row(s->seed, row);
 	if (mu_founding_row(s->founding, row))
 		return;
 	if (row->removed) {
@@ -408,6 +415,81 @@
 	mu_store_run_once(s->store, op, done, done_arg);
 }
 
+/* What peers know, for a daemon that starts without the store. */
+
+static bool
+knows_enough(const struct mu_serve *s)
+{
+	return s->routes != NULL && s->endpoints_known;
+}
+
+/* A peer lives and serves: it is asked while the store does not answer. */
+static void
+on_any_beat(void *arg, struct mu_mesh_link *from, const Mu__Beat *b)
+{
+	struct mu_serve *s = arg;
+	mu_us now = mu_loop_now(s->loop);
+	Mu__Frame f = MU__FRAME__INIT;
+	Mu__SeedAsk q = MU__SEED_ASK__INIT;
+
+	if (knows_enough(s) || !b->ready || mu_store_ok(s->store) ||
+	    (s->seed_asked != 0 && now - s->seed_asked < SEED_AGAIN_US))
+		return;
+	s->seed_asked = now;
+	q.host = (char *)(uintptr_t)s->conf.host;
+	f.body_case = MU__FRAME__BODY_SEED_ASK;
+	f.seed_ask = &q;
+	(void)mu_mesh_reply(from, &f);
+}
+
+static void
+give_seed(struct mu_serve *s, struct mu_mesh_link *from, const Mu__SeedAsk *q)
+{
+	mu_us age = mu_follow_age(s->follow_config);
+	Mu__Frame f = MU__FRAME__INIT;
+	Mu__Seed seed = MU__SEED__INIT;
+
+	if (!knows_enough(s))
+		return;
+	seed.age_ms =
+	    age < SEED_AGE_MAX_US ? (uint32_t)(age / MU_US_PER_MS) : UINT32_MAX;
+	mu_seed_fill(s->seed, &seed);
+	f.body_case = MU__FRAME__BODY_SEED;
+	f.seed = &seed;
+	(void)mu_mesh_reply(from, &f);
+	mu_log(MU_LOG_INFO, "serve", "seed_given", "{s:s,s:i}", "host", q->host,
+	    "rows", (int)seed.n_rows);
+	mu_seed_release(&seed);
+}
+
+static void
+take_row(void *arg, const Mu__StoreRow *row)
+{
+	struct mu_serve *s = arg;
+
+	if (strcmp(row->table, s->dialect->config_table) == 0)
+		on_config_row(s, row);
+	else if (strcmp(row->table, s->dialect->endpoint_table) == 0)
+		on_endpoint_row(s, row);
+	else if (strcmp(row->table, DAEMON_TABLE) == 0)
+		on_daemon_row(s, row);
+}
+
+/* Versions only rise and instances are told apart by their start, so what the
+ * store says later replaces all of it. */
+static void
+take_seed(struct mu_serve *s, const Mu__Seed *seed)
+{
+	size_t n;
+
+	if (knows_enough(s))
+		return;
+	n = mu_seed_each(seed, take_row, s);
+	s->endpoints_known = s->routes != NULL;
+	mu_log(MU_LOG_INFO, "serve", "seeded", "{s:i,s:I,s:b}", "rows", (int)n,
+	    "age_ms", (json_int_t)seed->age_ms, "ready", mu_serve_ready(s));
+}
+
 static void
 on_request(void *arg, struct mu_mesh_link *from, const Mu__Frame *f)
 {
@@ -426,6 +508,12 @@
 	case MU__FRAME__BODY_GUARANTEE:
 		mu_loans_on_request(s->loans, from, f->guarantee);
 		break;
+	case MU__FRAME__BODY_SEED_ASK:
+		give_seed(s, from, f->seed_ask);
+		break;
+	case MU__FRAME__BODY_SEED:
+		take_seed(s, f->seed);
+		break;
 	default:
 		break;
 	}
@@ -524,7 +612,7 @@
 	struct mu_mesh_conf mc = {s->conf.host, s->conf.domain,
 	    s->conf.mesh_addr, s->conf.incarnation, HEARTBEAT_MS, SILENCE_MS};
 	struct mu_mesh_hooks hooks = {
-	    s, fill_beat, on_heard, on_peer_changed, on_request};
+	    s, fill_beat, on_heard, on_peer_changed, on_any_beat, on_request};
 	struct mu_home_conf hc = {
 	    s->conf.host, s->conf.domain, s->conf.incarnation, NULL};
 	struct mu_store_relay relay = {s, relay_available, relay_run};
@@ -533,8 +621,9 @@
 	int rc;
 
 	s->loop = l;
+	s->seed = mu_seed_new();
 	s->store = mu_store_new(l, backend);
-	if (s->store == NULL ||
+	if (s->seed == NULL || s->store == NULL ||
 	    mu_quar_init(&s->quarantine, &mu_quar_conf_default) != 0 ||
 	    mu_targets_init(
 		&s->targets, l, s->conf.domain, s->conf.incarnation) != 0)
@@ -588,5 +677,6 @@
 	mu_reaper_free(s->reaper);
 	mu_targets_clear(&s->targets);
 	mu_quar_fini(&s->quarantine);
+	mu_seed_free(s->seed);
 	mu_routes_unref(s->routes);
 }
--- a/src/serve.h
+++ b/src/serve.h
@@ -66,6 +66,8 @@
 	struct mu_loans *loans;
 	struct mu_home *home;
 	struct mu_founding *founding;
+	struct mu_seed *seed;
+	mu_us seed_asked; /* of a peer; 0: never */
 	struct mu_targets targets;
 	struct mu_quarantine quarantine;
 	struct mu_routes *routes; /* NULL while none is known */
--- a/test/test_serve.c
+++ b/test/test_serve.c
@@ -34,6 +34,7 @@
 	bool up[N];
 	char host[N][16];
 	char mesh[N][MU_ADDR_LEN];
+	unsigned starts;
 	unsigned answers;
 	enum mu_begin_status status;
 	struct mu_grant grant;
@@ -79,11 +80,12 @@
 	f->d[i].dialect = &pf_dialect;
 	f->d[i].conf.host = f->host[i];
 	f->d[i].conf.domain = "east";
-	f->d[i].conf.incarnation = (uint64_t)i + 1;
+	f->d[i].conf.incarnation = ++f->starts;
 	f->d[i].conf.caller_addr = "127.0.0.1:1";
 	f->d[i].conf.mesh_addr = f->mesh[i];
 	assert_int_equal(mu_serve_open(&f->d[i], f->loop, &b, &e), 0);
 	f->up[i] = true;
+	f->view[i].dead = false;
 }
 
 static unsigned
@@ -135,6 +137,7 @@
 	int i;
 
 	/* What is passed on to the store through a peer ends first. */
+	f->mem->fault = MEM_WELL;
 	for (i = 0; i < N; i++)
 		f->view[i].busy = false;
 	kit_wait(f->loop, 800);
@@ -347,6 +350,47 @@
 	    MU_QUAR_REFUSE);
 }
 
+/* A daemon is started anew while the store is silent to all: its peers tell it
+ * what is in force, who the endpoints are and where the other daemons are, and
+ * it is ready. */
+static void
+test_daemon_starts_without_the_store(void **state)
+{
+	static const char config[] =
+	    "{\"version\":7,\"routes\":[{\"name\":\"look\",\"host\":\"h\","
+	    "\"path_prefix\":\"/look/"
+	    "\",\"type\":\"safe\",\"service\":\"app\"}],"
+	    "\"services\":[{\"name\":\"app\"}]}";
+	static const char entry[] =
+	    "{\"service\":\"app\",\"address\":\"127.0.0.1:9\",\"zone\":"
+	    "\"east\","
+	    "\"slots\":8,\"state\":\"ready\",\"sequence\":1,\"born\":5}";
+	struct fixture *f = *state;
+
+	f->mem->ver++;
+	mem_put(f->mem, "op", "", "config", config, strlen(config));
+	mem_put(f->mem, "servers", "", "e1", entry, strlen(entry));
+	assert_true(kit_until(f->loop, 4000,
+	    mu_serve_ready(&f->d[0]) && mu_serve_ready(&f->d[2]) &&
+		f->d[0].targets.by_name.count == 1 &&
+		f->d[2].targets.by_name.count == 1));
+	f->mem->fault = MEM_SILENT;
+	stop(f, 1);
+	kit_wait(f->loop, 100);
+	start(f, 1);
+	assert_false(mu_serve_ready(&f->d[1]));
+	assert_true(kit_until(f->loop, 2500, mu_serve_ready(&f->d[1])));
+	assert_int_equal(f->d[1].routes->version, 7);
+	assert_int_equal(f->d[1].targets.by_name.count, 1);
+	assert_true(kit_until(f->loop, 2000, peers_up(f, 1) == N - 1));
+	/* What the store says later goes first. */
+	f->mem->ver++;
+	mem_put(f->mem, "servers", "", "e2", entry, strlen(entry));
+	f->mem->fault = MEM_WELL;
+	assert_true(
+	    kit_until(f->loop, 5000, f->d[1].targets.by_name.count == 2));
+}
+
 int
 main(void)
 {
@@ -358,6 +402,7 @@
 	    T(test_leaving_daemon_is_no_home),
 	    T(test_peers_tell_what_they_have_at_endpoints),
 	    T(test_killing_request_is_known_to_peers),
+	    T(test_daemon_starts_without_the_store),
 #undef T
 	};
 
