Blame nobody for an endpoint that turns away; avoid all that broke off

The same request was also sent back to an endpoint that had broken it off two attempts ago. Change: only an endpoint that cannot be reached accuses, as before; a repetition avoids every endpoint that broke it off while there is another.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -286,8 +286,10 @@
 		    "endpoint", x->info.name, "end", mu_up_end_name(end),
 		    "sent", sent, "events", (json_int_t)c->events, "ms",
 		    (json_int_t)(took / MU_US_PER_MS));
-	if ((end == MU_UP_CONNECT || end == MU_UP_TURNED_AWAY) &&
-	    mu_target_died(x, now))
+	if (end == MU_UP_TURNED_AWAY)
+		(void)mu_target_died(
+		    x, now); /* it may live: nobody is to blame */
+	if (end == MU_UP_CONNECT && mu_target_died(x, now))
 		accuse(c->s, x);
 	if (end == MU_UP_LOST && sent)
 		mu_target_lost(x, c->fingerprint, now);
--- a/src/call.c
+++ b/src/call.c
@@ -186,7 +186,8 @@
 	 * the route allows. */
 	c->resend_same = c->ran >= c->route->max_endpoints ||
 			 c->route->kind == MU_ROUTE_STREAM;
-	memcpy(c->lost_at, c->same, sizeof(c->lost_at));
+	if (c->nlost < MU_CALL_TRIES)
+		memcpy(c->lost_at[c->nlost++], c->same, sizeof(c->same));
 	mu_count(MU_M_RETRIES, 1);
 	mu_call_again(c);
 }
--- a/src/call_private.h
+++ b/src/call_private.h
@@ -52,8 +52,9 @@
 	unsigned ran; /* endpoints that may have run it */
 	bool resend_same; /* to the endpoint that broke off, if it is there */
 	char same[MU_NAME_LEN];
-	char lost_at[MU_NAME_LEN]; /* endpoint that broke off last: another one
-				      is tried first */
+	/* Endpoints that broke off: others are tried first. */
+	char lost_at[MU_CALL_TRIES][MU_NAME_LEN];
+	unsigned nlost;
 	char tried[MU_CALL_TRIES]
 		  [MU_NAME_LEN]; /* refused, not to be asked again */
 	unsigned ntried;
--- a/src/callplace.c
+++ b/src/callplace.c
@@ -49,22 +49,31 @@
 	}
 }
 
+static bool
+was_lost_at(const struct mu_call *c, const char *name)
+{
+	unsigned i;
+
+	for (i = 0; i < c->nlost; i++)
+		if (strcmp(c->lost_at[i], name) == 0)
+			return true;
+	return false;
+}
+
 /* An endpoint that fails fast has places free, and would get each repetition of
  * a request again. */
 static void
 avoid_lost(const struct mu_call *c, struct mu_candidate *cand,
     struct mu_target *const *who, uint32_t n)
 {
-	uint32_t i, at = n;
 	bool other = false;
+	uint32_t i;
 
 	for (i = 0; i < n; i++)
-		if (strcmp(who[i]->info.name, c->lost_at) == 0)
-			at = i;
-		else if (cand[i].usable)
-			other = true;
-	if (at < n && other)
-		cand[at].usable = false;
+		other |= cand[i].usable && !was_lost_at(c, who[i]->info.name);
+	for (i = 0; other && i < n; i++)
+		if (was_lost_at(c, who[i]->info.name))
+			cand[i].usable = false;
 }
 
 /* Leaves usable what this call may be sent to. */
--- a/test/test_call.c
+++ b/test/test_call.c
@@ -499,6 +499,39 @@
 	assert_in_range(e->requests, 0, 1);
 }
 
+/* Found in a recorded day: lookups of one page, at endpoints that flap, were
+ * taken for requests that kill endpoints. */
+static void
+test_endpoints_that_turn_away_accuse_nobody(void **state)
+{
+	static const struct kit_step away[] = {
+	    {PLAIN, false, false}, {NULL, false, true}};
+	static const struct kit_step s[] = {{PLAIN, false, false}};
+	struct fixture *f = *state;
+	uint64_t suspected[MU_QUAR_DIGEST_MAX];
+	unsigned i;
+
+	/* A connection is kept to each of the two. */
+	(void)endpoint(f, "app", away, 2);
+	ready(f);
+	expect(f, GET("/look/a", "l"), 2000, "done");
+	(void)endpoint(f, "app", away, 2);
+	ready(f);
+	mu_targets_peer(&f->serve.targets, "i-0", 0, 8, 0);
+	expect(f, GET("/look/a", "l"), 2000, "done");
+	mu_targets_peer(&f->serve.targets, "i-0", 8, 0, 0);
+	(void)endpoint(f, "app", s, 1);
+	ready(f);
+	mu_targets_peer(&f->serve.targets, "i-2", 0, 4, 0);
+	for (i = 0; i < 20; i++) {
+		expect(f, GET("/look/a", "l"), 2000, "done");
+		kit_wait(f->loop, 60);
+	}
+	assert_int_equal(mu_quar_suspected(&f->serve.quarantine, suspected,
+			     mu_now(&f->clock)),
+	    0);
+}
+
 /* Every endpoint was down a moment ago: the request is not refused for that. */
 static void
 test_endpoint_is_tried_when_none_is_known_to_be_up(void **state)
@@ -537,6 +570,55 @@
 	kit_caller_free(c);
 }
 
+/* The whole answer takes long and each event comes late, but they come: the
+ * stream is not cut before the route's time is over. */
+static void
+test_slow_stream_is_not_cut(void **state)
+{
+	static const struct kit_step s[] = {{CHUNKED PIECE("1"), false, false}};
+	struct fixture *f = *state;
+	struct kit_end *e = endpoint(f, "llm", s, 1);
+	struct kit_caller *c;
+	int i;
+
+	ready(f);
+	c = kit_call(f->loop, f->addr, TURN("/chat/1", "t1", ""));
+	for (i = 0; i < 3; i++) {
+		kit_wait(f->loop, 400);
+		kit_send(e->conn[0].watch.fd, PIECE("2"), "t1");
+	}
+	kit_send(e->conn[0].watch.fd, LAST, "t1");
+	(void)kit_until(
+	    f->loop, 1000, strstr(kit_got(c), "\r\n0\r\n\r\n") != NULL);
+	assert_non_null(strstr(kit_got(c), "\r\n0\r\n\r\n"));
+	kit_caller_free(c);
+}
+
+/* A stalled answer of which a byte comes now and then ends with the route's
+ * time, and the endpoint's connection with it. */
+static void
+test_trickle_ends_in_time(void **state)
+{
+	static const struct kit_step s[] = {{CHUNKED, false, false}};
+	struct fixture *f = *state;
+	struct kit_end *e = endpoint(f, "llm", s, 1);
+	mu_us began = mu_now(&f->clock);
+	struct kit_caller *c;
+
+	ready(f);
+	c = kit_call(f->loop, f->addr, TURN("/chat/1", "t1", ""));
+	while (!c->closed && mu_now(&f->clock) - began < 5 * MU_US_PER_S) {
+		kit_wait(f->loop, 100);
+		if (e->conn[0].open)
+			kit_send(e->conn[0].watch.fd, "1\r\n:\r\n", "t1");
+	}
+	assert_true(c->closed);
+	assert_true(mu_now(&f->clock) - began < 2500 * MU_US_PER_MS);
+	assert_null(strstr(kit_got(c), "\r\n0\r\n\r\n"));
+	assert_true(kit_until(f->loop, 500, e->gone == 1));
+	kit_caller_free(c);
+}
+
 /* An endpoint says in an answer that it leaves, while the list says ready: the
  * answer is delivered and nothing new goes there. */
 static void
@@ -701,7 +783,10 @@
 	    T(test_lines_for_a_failed_request),
 	    T(test_turn_keeps_its_reservation),
 	    T(test_endpoint_that_turns_away_attracts_nothing),
+	    T(test_endpoints_that_turn_away_accuse_nobody),
 	    T(test_endpoint_is_tried_when_none_is_known_to_be_up),
+	    T(test_slow_stream_is_not_cut),
+	    T(test_trickle_ends_in_time),
 	    T(test_plain_answer_says_leaving),
 	    T(test_failure_says_leaving),
 	    T(test_refusal_says_leaving),
