--- a/src/attempt.c
+++ b/src/attempt.c
@@ -197,7 +197,7 @@
 	struct mu_call *c = arg;
 	size_t n = c->sse.fed - c->event_at;
 
-	if (c->grant.held &&
+	if (c->grant.held && c->grant.tokens > 0 &&
 	    (c->events + 1) * c->service->tokens_per_event > c->grant.tokens) {
 		c->over_budget = true;
 		return MU_E_BUDGET;
@@ -286,9 +286,9 @@
 		    "endpoint", x->info.name, "end", mu_up_end_name(end),
 		    "sent", sent, "events", (json_int_t)c->events, "ms",
 		    (json_int_t)(took / MU_US_PER_MS));
+	/* An endpoint that turns away may live: nobody killed it. */
 	if (end == MU_UP_TURNED_AWAY)
-		(void)mu_target_died(
-		    x, now); /* it may live: nobody is to blame */
+		(void)mu_target_died(x, now);
 	if (end == MU_UP_CONNECT && mu_target_died(x, now))
 		accuse(c->s, x);
 	if (end == MU_UP_LOST && sent)
--- a/src/home.h
+++ b/src/home.h
@@ -35,7 +35,8 @@
 	bool remote;
 	char host[MU_NAME_LEN];
 	uint64_t incarnation; /* of the home that gave it */
-	uint64_t tokens; /* reserved; the turn must not use more */
+	uint64_t tokens; /* reserved, the turn must not use more; 0: not told,
+			    as by a home of an older release */
 	struct mu_cached cached; /* where the prompt's start is cached */
 };
 
--- a/src/store.c
+++ b/src/store.c
@@ -31,7 +31,7 @@
 /* Parts asked at once whether they are back: a third of a fleet's usual calls
  * when nearly half of the parts are down. */
 #define PROBES 2
-#define PROBE_MISSES 2 /* an attempt that asks is given up after this many */
+#define PROBE_MISSES 2 /* limit of an attempt that asks */
 #define ATTEMPTS_AT_ONCE 3 /* of one operation, in progress */
 #define LANE_KEY 64
 
--- a/test/test_call.c
+++ b/test/test_call.c
@@ -570,6 +570,24 @@
 	kit_caller_free(c);
 }
 
+/* A caller that does not say how much a turn may use has nothing reserved, and
+ * gets its whole answer. */
+static void
+test_turn_without_a_usage_is_whole(void **state)
+{
+	static const struct kit_step s[] = {
+	    {CHUNKED PIECE("1") PIECE("2") LAST, false, false}};
+	struct fixture *f = *state;
+
+	(void)endpoint(f, "llm", s, 1);
+	ready(f);
+	expect(f,
+	    "POST /check/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: u1\r\n"
+	    "Program-Id: p3\r\nToken-Budget: 136\r\nContent-Length: 2\r\n\r\n"
+	    "u1",
+	    2000, "\r\n0\r\n\r\n");
+}
+
 /* The whole answer takes long and each event comes late, but they come: the
  * stream is not cut before the route's time is over. */
 static void
@@ -785,6 +803,7 @@
 	    T(test_endpoint_that_turns_away_attracts_nothing),
 	    T(test_endpoints_that_turn_away_accuse_nobody),
 	    T(test_endpoint_is_tried_when_none_is_known_to_be_up),
+	    T(test_turn_without_a_usage_is_whole),
 	    T(test_slow_stream_is_not_cut),
 	    T(test_trickle_ends_in_time),
 	    T(test_plain_answer_says_leaving),
