--- a/src/callplace.c
+++ b/src/callplace.c
@@ -20,16 +20,28 @@
 static void look_later(struct mu_serve *s, struct mu_group *g);
 
 static bool
-was_tried(const struct mu_call *c, const char *name)
+is_among(char (*names)[MU_NAME_LEN], unsigned n, const char *name)
 {
 	unsigned i;
 
-	for (i = 0; i < c->ntried; i++)
-		if (strcmp(c->tried[i], name) == 0)
+	for (i = 0; i < n; i++)
+		if (strcmp(names[i], name) == 0)
 			return true;
 	return false;
 }
 
+static bool
+was_tried(struct mu_call *c, const char *name)
+{
+	return is_among(c->tried, c->ntried, name);
+}
+
+static bool
+was_lost_at(struct mu_call *c, const char *name)
+{
+	return is_among(c->lost_at, c->nlost, name);
+}
+
 /* Prompt tokens that each endpoint would have to read. */
 static void
 count_missing(const struct mu_call *c, struct mu_candidate *cand,
@@ -49,21 +61,10 @@
 	}
 }
 
-static bool
-was_lost_at(const struct mu_call *c, const char *name)
-{
-	unsigned i;
-
-	for (i = 0; i < c->nlost; i++)
-		if (strcmp(c->lost_at[i], name) == 0)
-			return true;
-	return false;
-}
-
 /* An endpoint that fails fast has places free, and would get each repetition of
  * a request again. */
 static void
-avoid_lost(const struct mu_call *c, struct mu_candidate *cand,
+avoid_lost(struct mu_call *c, struct mu_candidate *cand,
     struct mu_target *const *who, uint32_t n)
 {
 	bool other = false;
@@ -78,7 +79,7 @@
 
 /* Leaves usable what this call may be sent to. */
 static void
-narrow(const struct mu_call *c, struct mu_candidate *cand,
+narrow(struct mu_call *c, struct mu_candidate *cand,
     struct mu_target *const *who, uint32_t n)
 {
 	bool there = false;
--- a/src/historyread.c
+++ b/src/historyread.c
@@ -194,7 +194,6 @@
 on_hedge(void *arg)
 {
 	struct turn_read *q = arg;
-
 	struct mu_history *h = q->f->h;
 
 	if (mu_history_part_suspect(mu_history_place(h, q->turn, 0)))
@@ -218,11 +217,7 @@
 	q->hedge.arg = q;
 	f->reads++;
 	ask_next(q);
-	if (mu_history_part_suspect(mu_history_place(f->h, turn, 0)))
-		ask_rest(q);
-	else
-		mu_timer_set(
-		    f->h->loop, &q->hedge, mu_loop_now(f->h->loop) + HEDGE_US);
+	on_hedge(q);
 }
 
 void
--- a/src/reach.c
+++ b/src/reach.c
@@ -16,8 +16,6 @@
 #include "reach.h"
 
 #define RTT_FACTOR 5 /* a usual answer's time; spreads widely under load */
-#define LIMIT_FLOOR_MS 50 /* ten times a transaction of the platform */
-#define LIMIT_CAP_MS 2000
 #define MISS_SHIFT_MAX 5
 #define START_RTT_US (10 * MU_US_PER_MS) /* before the first answer */
 #define RTT_SMOOTHING 8 /* a new sample weighs a part of so many */
@@ -163,10 +161,11 @@
 	mu_us ms = rtt * RTT_FACTOR / MU_US_PER_MS;
 	unsigned shift = misses < MISS_SHIFT_MAX ? misses : MISS_SHIFT_MAX;
 
-	if (ms < LIMIT_FLOOR_MS)
-		ms = LIMIT_FLOOR_MS;
+	if (ms < MU_STORE_LIMIT_FLOOR_MS)
+		ms = MU_STORE_LIMIT_FLOOR_MS;
 	ms <<= shift;
-	return ms < LIMIT_CAP_MS ? (uint32_t)ms : LIMIT_CAP_MS;
+	return ms < MU_STORE_LIMIT_CAP_MS ? (uint32_t)ms
+					  : MU_STORE_LIMIT_CAP_MS;
 }
 
 uint32_t
--- a/src/reach.h
+++ b/src/reach.h
@@ -11,6 +11,11 @@
 
 #include "musher.h"
 
+/* Least and longest wait for one attempt, ms: ten times a transaction of the
+ * platform; a caller's patience. */
+#define MU_STORE_LIMIT_FLOOR_MS 50
+#define MU_STORE_LIMIT_CAP_MS 2000
+
 /* What is believed of all parts together. */
 struct mu_reach {
 	struct cds_list_head lanes;
--- a/src/serve.c
+++ b/src/serve.c
@@ -335,6 +335,12 @@
 		mu__store_op__free_unpacked(op, NULL);
 }
 
+static bool
+can_relay(const struct mu_peer *p)
+{
+	return p->up && p->store_ok && !p->leaving;
+}
+
 /* Any of those that the store answers: one whose word is out of date is not
  * asked again and again. */
 static struct mu_peer *
@@ -344,8 +350,7 @@
 	unsigned n = 0;
 
 	cds_list_for_each_entry (p, mu_mesh_peers(s->mesh), node)
-		if (p->up && p->store_ok && !p->leaving &&
-		    mu_rand(&s->targets.rng) % ++n == 0)
+		if (can_relay(p) && mu_rand(&s->targets.rng) % ++n == 0)
 			chosen = p;
 	return chosen;
 }
@@ -357,7 +362,7 @@
 	struct mu_peer *p;
 
 	cds_list_for_each_entry (p, mu_mesh_peers(s->mesh), node)
-		if (p->up && p->store_ok && !p->leaving)
+		if (can_relay(p))
 			return true;
 	return false;
 }
--- a/src/store.c
+++ b/src/store.c
@@ -23,8 +23,6 @@
 #include "reach.h"
 #include "store.h"
 
-#define LIMIT_FLOOR_MS 50 /* ten times a transaction of the platform */
-#define LIMIT_CAP_MS 2000
 #define RETRY_FIRST_MS 15 /* about the time until the next free turn */
 #define RETRY_CAP_MS 250
 #define PROBE_US (60 * MU_US_PER_MS) /* some times an answer's usual time */
@@ -393,10 +391,10 @@
 {
 	mu_us left = (o->deadline - now) / MU_US_PER_MS;
 
-	if (left < LIMIT_FLOOR_MS)
-		left = LIMIT_FLOOR_MS;
-	if (left > LIMIT_CAP_MS)
-		left = LIMIT_CAP_MS;
+	if (left < MU_STORE_LIMIT_FLOOR_MS)
+		left = MU_STORE_LIMIT_FLOOR_MS;
+	if (left > MU_STORE_LIMIT_CAP_MS)
+		left = MU_STORE_LIMIT_CAP_MS;
 	return (uint32_t)left + o->op->wait_ms;
 }
 
