A turn that waits behind a slow write is told in time

Cause: turns wait for their reservation while a write of the program's row is in progress, and were looked at again only when it ended. Ruled out: the store's recovery; it serves all parts within 0.1 s of its return. Change: a timer at the first deadline of those who wait. Test: test_account test_turn_behind_a_slow_write_is_told_in_time, fails without.

--- a/src/account.c
+++ b/src/account.c
@@ -34,6 +34,7 @@
 	cds_list_for_each_entry_safe (w, next, &p->holds, node)
 		free(w);
 	mu_timer_clear(p->a->loop, &p->pause);
+	mu_timer_clear(p->a->loop, &p->late);
 	mu_hmap_del(&p->a->programs, &p->node);
 	cds_list_del(&p->all);
 	free(p);
@@ -123,6 +124,32 @@
 	return n != NULL ? MU_OWNER(n, struct program, node) : NULL;
 }
 
+/* Plans to answer those who still wait at their deadlines. */
+static void
+plan_late(struct program *p)
+{
+	mu_us first = MU_US_NEVER;
+	struct hold *w;
+
+	cds_list_for_each_entry (w, &p->waiters, node)
+		if (w->deadline < first)
+			first = w->deadline;
+	if (first != MU_US_NEVER)
+		mu_timer_set(p->a->loop, &p->late, first);
+	else
+		mu_timer_clear(p->a->loop, &p->late);
+}
+
+/* A write without an answer may take longer than those who wait for it may. */
+static void
+on_late(void *arg)
+{
+	struct program *p = arg;
+
+	mu_account_give_up_late(p);
+	plan_late(p);
+}
+
 static struct program *
 get_program(struct mu_accounts *a, const char *id, uint64_t budget)
 {
@@ -139,6 +166,8 @@
 		CDS_INIT_LIST_HEAD(&p->holds);
 		p->pause.fn = mu_account_on_pause;
 		p->pause.arg = p;
+		p->late.fn = on_late;
+		p->late.arg = p;
 		mu_hmap_add(&a->programs, &p->node);
 		cds_list_add(&p->all, &a->all);
 	}
@@ -374,6 +403,7 @@
 	w->arg = arg;
 	cds_list_add_tail(&w->node, &p->waiters);
 	mu_account_serve(p);
+	plan_late(p);
 }
 
 static struct hold *
--- a/src/account_private.h
+++ b/src/account_private.h
@@ -55,6 +55,7 @@
 	uint64_t row_draw; /* ...and the number of its draw or return */
 	mu_us used_at;
 	struct mu_timer pause;
+	struct mu_timer late; /* the first deadline of those who wait */
 	struct cds_list_head waiters; /* turns that wait for a reservation */
 	struct cds_list_head holds; /* turns that have one */
 	bool begun; /* a turn of it has been served */
--- a/test/test_account.c
+++ b/test/test_account.c
@@ -387,6 +387,24 @@
 	settle(f, 0, "t1", 60);
 }
 
+/* The load: the store is out, the guarantor lends nothing, and a draw without
+ * an answer is being settled for longer than the next turn may wait. */
+static void
+test_turn_behind_a_slow_write_is_told_in_time(void **state)
+{
+	struct fixture *f = *state;
+	mu_us began;
+
+	mu_guarantor_free(f->guarantor);
+	f->guarantor = NULL;
+	f->mem->fault = MEM_SILENT;
+	assert_int_equal(reserve(f, 0, "t1", 3500, 800), MU_BEGIN_UNAVAILABLE);
+	run_ms(f->loop, &f->clock, 600);
+	began = mu_loop_now(f->loop);
+	assert_int_equal(reserve(f, 0, "t2", 3500, 800), MU_BEGIN_UNAVAILABLE);
+	assert_true(mu_loop_now(f->loop) - began <= 802 * MU_US_PER_MS);
+}
+
 /* The load: programs that begin while the store is out for seconds.  Before,
  * each of their turns waited for the store and then failed. */
 static void
@@ -538,6 +556,7 @@
 	const struct CMUnitTest tests[] = {
 #define T(t) cmocka_unit_test_setup_teardown(t, setup, teardown)
 	    T(test_draw_is_left_for_a_loan),
+	    T(test_turn_behind_a_slow_write_is_told_in_time),
 	    T(test_program_begins_during_an_outage),
 	    T(test_loans_of_the_dead_count_as_spent),
 	    T(test_release_is_written_down),
