Requests that run once keep off endpoints that broke one off

Such an endpoint looks idle and is met again whenever the time for which it is taken to be down is over. Change: an endpoint that broke a request off, or that a peer says is down, is doubted until it answers, three seconds at the most. What must not be repeated goes to a doubted one only when no other has a place; what may be repeated finds out whether it is well.

--- a/src/callplace.c
+++ b/src/callplace.c
@@ -113,6 +113,7 @@
 	d->call = c->group->call;
 	d->token = PREFILL_US;
 	d->left = c->deadline - now;
+	d->once = !mu_call_repeatable(c);
 }
 
 /* Refuses those that wait and can no longer be served in time. */
--- a/src/choose.c
+++ b/src/choose.c
@@ -14,6 +14,10 @@
  * A program that goes on where its prompt is cached saves the time to read it,
  * which under load is most of the work; so programs stay where they are unless
  * that endpoint is far fuller than others.
+ *
+ * Endpoints that reset connections look idle.  Requests that may be repeated
+ * find out whether such a one is well again; those that may run only once go
+ * there only when no other has a place, since they fail with the answer.
  */
 #include "choose.h"
 #include "view.h"
@@ -71,9 +75,11 @@
 	return cost * c->slow;
 }
 
-struct mu_choice
-mu_choose(const struct mu_candidate *c, uint32_t n, const struct mu_demand *d,
-    uint64_t *rng)
+/* The cheapest endpoint that is usable and not full; doubted ones count only
+ * when doubted is set. */
+static struct mu_choice
+cheapest(const struct mu_candidate *c, uint32_t n, const struct mu_demand *d,
+    bool doubted, uint64_t *rng)
 {
 	struct mu_choice out = {.kind = MU_CHOICE_REFUSE, .none = true};
 	double cost, best = 0;
@@ -87,7 +93,7 @@
 			out.none = false;
 			out.kind = MU_CHOICE_WAIT;
 		}
-		if (full(&c[i]))
+		if (full(&c[i]) || (c[i].doubted && !doubted))
 			continue;
 		cost = cost_of(&c[i], d);
 		if (ties > 0 && cost > best * (1 + TIE_SHARE))
@@ -111,6 +117,17 @@
 	return out;
 }
 
+struct mu_choice
+mu_choose(const struct mu_candidate *c, uint32_t n, const struct mu_demand *d,
+    uint64_t *rng)
+{
+	struct mu_choice out = cheapest(c, n, d, !d->once, rng);
+
+	if (d->once && out.kind == MU_CHOICE_WAIT)
+		out = cheapest(c, n, d, true, rng);
+	return out;
+}
+
 static uint32_t
 retry_after(mu_us wait)
 {
--- a/src/choose.h
+++ b/src/choose.h
@@ -20,6 +20,7 @@
 	uint32_t slots; /* requests that it runs at once */
 	bool warm; /* a connection to it is kept */
 	bool near; /* in this daemon's failure domain */
+	bool doubted; /* it broke a request off and has not answered since */
 	double slow; /* time a piece over the median; 1: as others */
 	uint32_t missing; /* prompt tokens that it has to read */
 };
@@ -28,6 +29,7 @@
 	mu_us call; /* usual time of a call of this service */
 	mu_us token; /* time to read a prompt token */
 	mu_us left; /* until the request is of no use */
+	bool once; /* it must not run again, so a lost answer fails it */
 };
 
 enum mu_choice_kind {
--- a/src/targets.c
+++ b/src/targets.c
@@ -20,6 +20,9 @@
 #define DOWN_US (250 * MU_US_PER_MS)
 #define DOWN_SHIFT_MAX 4
 #define DEATH_MEMORY_US (15 * MU_US_PER_S)
+/* After a request that an endpoint broke off: some calls of each daemon of a
+ * large fleet, one of which finds out whether it answers. */
+#define DOUBT_US (3 * MU_US_PER_S)
 /* Of a peer's word that an endpoint leaves: some heartbeats. */
 #define LEAVING_TOLD_US (2 * MU_US_PER_S)
 #define FADE_US 1e6 /* others' requests: about some calls' time */
@@ -301,8 +304,10 @@
 
 	if (x == NULL)
 		return;
-	if (down_ms > 0)
+	if (down_ms > 0) {
 		x->down_told = mu_loop_now(t->loop) + down_ms * MU_US_PER_MS;
+		x->doubted_until = x->down_told + DOUBT_US;
+	}
 	x->peers = x->peers + now > before ? x->peers + now - before : 0;
 }
 
@@ -353,6 +358,7 @@
 	shift = x->deaths < DOWN_SHIFT_MAX ? x->deaths : DOWN_SHIFT_MAX;
 	x->deaths++;
 	x->died_at = now;
+	x->doubted_until = now + (DOWN_US << shift) + DOUBT_US;
 	x->down_until = now + (DOWN_US << shift);
 	mu_log(MU_LOG_WARN, "targets", "unreachable", "{s:s,s:s,s:i,s:I}",
 	    "endpoint", x->info.name, "addr", x->info.addr, "deaths",
@@ -408,6 +414,7 @@
 		c[n].slots = x->info.slots;
 		c[n].warm = mu_up_warm(&x->pool);
 		c[n].near = strcmp(x->info.domain, t->domain) == 0;
+		c[n].doubted = now < x->doubted_until;
 		c[n].slow = 1;
 		n++;
 	}
@@ -437,7 +444,13 @@
 	struct mu_eject_event e;
 	struct mu_target *y;
 	size_t n = 0, self = MU_EJECT_MAX;
+	mu_us now = mu_loop_now(t->loop);
 
+	if (result == MU_HEALTH_SUCCESS)
+		x->doubted_until = 0;
+	else if (result == MU_HEALTH_FAILURE &&
+		 x->doubted_until < now + DOUBT_US)
+		x->doubted_until = now + DOUBT_US;
 	cds_list_for_each_entry (y, &x->group->targets, in_group) {
 		if (n == MU_EJECT_MAX)
 			break;
@@ -447,8 +460,7 @@
 	}
 	if (self == MU_EJECT_MAX)
 		return;
-	e = mu_eject_report(&mu_targets_eject, all, n, self, result, took,
-	    mu_loop_now(t->loop));
+	e = mu_eject_report(&mu_targets_eject, all, n, self, result, took, now);
 	if (e.kind == MU_EJECT_NOTHING)
 		return;
 	mu_log(MU_LOG_WARN, "targets",
--- a/src/targets.h
+++ b/src/targets.h
@@ -52,6 +52,7 @@
 	mu_us full_until; /* it refused: no work until then */
 	mu_us down_until; /* it could not be reached by this daemon */
 	mu_us down_told; /* as far as peers tell */
+	mu_us doubted_until; /* unless it answers before */
 	mu_us died_at; /* when it last could not be reached */
 	unsigned deaths; /* in a row, each soon after the one before */
 	struct mu_lost_request lost[MU_LOST_MAX];
--- a/test/test_choose.c
+++ b/test/test_choose.c
@@ -14,7 +14,7 @@
 #define SLOTS 8
 #define CALL (150 * MU_US_PER_MS)
 
-static const struct mu_demand usual = {CALL, 6, 3 * MU_US_PER_S};
+static const struct mu_demand usual = {CALL, 6, 3 * MU_US_PER_S, false};
 
 static void
 idle(struct mu_candidate *c)
@@ -112,6 +112,34 @@
 	assert_true(x.retry_after_ms > 0);
 }
 
+/* The load: some endpoints reset every connection and so look idle.  What may
+ * run only once keeps off them while another one has a place; what may be
+ * repeated goes there and finds out. */
+static void
+test_doubted_ones_get_nothing_that_runs_once(void **state)
+{
+	struct mu_candidate c[N];
+	struct mu_demand once = usual;
+	uint64_t rng = 1;
+	int i;
+
+	(void)state;
+	once.once = true;
+	idle(c);
+	for (i = 0; i < N; i++)
+		c[i].sent = 4;
+	c[1].sent = 0;
+	c[1].doubted = true;
+	for (i = 0; i < 20; i++) {
+		assert_int_not_equal(mu_choose(c, N, &once, &rng).index, 1);
+		assert_int_equal(mu_choose(c, N, &usual, &rng).index, 1);
+	}
+	for (i = 0; i < N; i++)
+		c[i].sent = i == 1 ? 0 : 2 * SLOTS;
+	assert_int_equal(mu_choose(c, N, &once, &rng).kind, MU_CHOICE_SEND);
+	assert_int_equal(mu_choose(c, N, &once, &rng).index, 1);
+}
+
 /* Daemons with the same stale view must not all pick the same endpoint. */
 static void
 test_equals_are_drawn_at_random(void **state)
@@ -226,6 +254,7 @@
 	    cmocka_unit_test(test_cached_prompt_keeps_a_program_in_place),
 	    cmocka_unit_test(test_kept_connections_first_among_equals),
 	    cmocka_unit_test(test_slow_and_unusable_ones_are_left),
+	    cmocka_unit_test(test_doubted_ones_get_nothing_that_runs_once),
 	    cmocka_unit_test(test_equals_are_drawn_at_random),
 	    cmocka_unit_test(
 		test_waits_when_all_are_full_and_refuses_the_hopeless),
--- a/test/test_targets.c
+++ b/test/test_targets.c
@@ -213,6 +213,57 @@
 	assert_int_equal(f->targets.by_name.count, 4);
 }
 
+static bool
+doubted(struct fixture *f, const char *name)
+{
+	struct mu_candidate c[MU_CHOOSE_MAX];
+	struct mu_target *who[MU_CHOOSE_MAX];
+	uint32_t i, n = mu_group_view(&f->targets, f->group, c, who);
+
+	for (i = 0; i < n; i++)
+		if (strcmp(who[i]->info.name, name) == 0)
+			return c[i].doubted;
+	return false;
+}
+
+/* An endpoint that broke a request off is doubted until it answers, or for
+ * some seconds; a peer's word does the same. */
+static void
+test_doubt_ends_with_an_answer(void **state)
+{
+	struct fixture *f = *state;
+	struct mu_target *x;
+	bool u;
+
+	entry(f, "e1", 100, 5, false);
+	entry(f, "e2", 100, 5, false);
+	x = view(f, "e1", &u);
+	assert_false(doubted(f, "e1"));
+	mu_target_ended(&f->targets, x, MU_HEALTH_FAILURE, 0);
+	assert_true(doubted(f, "e1"));
+	assert_false(doubted(f, "e2"));
+	mu_target_ended(&f->targets, x, MU_HEALTH_BUSY, 0);
+	assert_true(doubted(f, "e1"));
+	mu_target_ended(&f->targets, x, MU_HEALTH_SUCCESS, 1000);
+	assert_false(doubted(f, "e1"));
+	/* It is left alone for longer each time, and doubted after that. */
+	while (x->deaths < 5) {
+		assert_true(mu_target_died(x, mu_loop_now(f->loop)));
+		run_ms(f->loop, &f->clock,
+		    (int)((x->down_until - mu_loop_now(f->loop)) /
+			  MU_US_PER_MS) +
+			1);
+	}
+	assert_true(usable(f, "e1"));
+	assert_true(doubted(f, "e1"));
+	mu_targets_peer(&f->targets, "e2", 0, 0, 250);
+	run_ms(f->loop, &f->clock, 1000);
+	assert_true(usable(f, "e2"));
+	assert_true(doubted(f, "e2"));
+	run_ms(f->loop, &f->clock, 3000);
+	assert_false(doubted(f, "e2"));
+}
+
 int
 main(void)
 {
@@ -225,6 +276,7 @@
 	    T(test_stale_entry),
 	    T(test_peer_says_leaving),
 	    T(test_lapsed_entries_come_back),
+	    T(test_doubt_ends_with_an_answer),
 #undef T
 	};
 
