Ask again for an overdue answer where the request has run

A reset was already answered by another run at the same endpoint, silence was not. Ruled out: a third endpoint, which the route does not allow; streams, which would lose their place in a long queue. Change: an overdue call that may be repeated goes to the last endpoint again, at most twice. The line at a request's end names the time that its caller and its program have, which told held requests from late ones here.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -57,6 +57,22 @@
 	leave_target(c, result, 0);
 }
 
+/*
+ * Whether an overdue attempt is broken off for another one.  Once as many
+ * endpoints have run the request as its route allows, a plain call goes to the
+ * last one again, which may have lost just that answer; a stream would lose its
+ * place there.
+ */
+static bool
+repeat_overdue(const struct mu_call *c)
+{
+	unsigned most = c->route->max_endpoints;
+
+	if (c->route->kind == MU_ROUTE_IDEMPOTENT)
+		most += MU_CALL_RERUNS;
+	return mu_call_repeatable(c) && c->ran + 1 < most;
+}
+
 /*
  * The answer is long overdue: an endpoint that hangs is told from a busy one
  * before callers' time is over, and what may be repeated goes elsewhere.
@@ -75,9 +91,10 @@
 		mu_target_ended(
 		    &c->s->targets, c->target, MU_HEALTH_FAILURE, 0);
 	c->overdue = true;
-	if (!mu_call_repeatable(c) || c->ran + 1 >= c->route->max_endpoints)
+	if (!repeat_overdue(c))
 		return;
-	mu_call_mark_tried(c, c->target->info.name);
+	if (c->ran + 1 < c->route->max_endpoints)
+		mu_call_mark_tried(c, c->target->info.name);
 	mu_attempt_cancel(c, MU_HEALTH_FAILURE);
 	mu_call_lost(c, "overdue");
 }
--- a/src/call.c
+++ b/src/call.c
@@ -35,7 +35,6 @@
 #define RETRY_OVERLOAD_MS 250
 /* Some turns end meanwhile, and a caller can come back several times. */
 #define RETRY_NEW_MS 350
-#define RERUNS 2 /* at an endpoint that has run it, beyond the route's own */
 
 /* Final answers. */
 
@@ -68,12 +67,15 @@
 
 	mu_log(status >= 400 || status == 0 ? MU_LOG_WARN : MU_LOG_INFO, "call",
 	    "end",
-	    "{s:s,s:s?,s:s?,s:s?,s:i,s:s?,s:s?,s:I,s:I,s:I,s:i,s:i,s:I,s:I}",
+	    "{s:s,s:s?,s:s?,s:s?,s:i,s:s?,s:s?,s:I,s:I,s:I,s:I,s:I,s:i,s:i,s:I,"
+	    "s:I}",
 	    "request", c->req.id, "program", c->req.program, "previous",
 	    c->req.previous, "route", c->route != NULL ? c->route->name : NULL,
 	    "status", status, "why", c->why, "endpoint",
 	    c->target != NULL ? c->target->info.name : c->same, "ms",
-	    (json_int_t)((now - c->arrived) / MU_US_PER_MS), "sent_ms",
+	    (json_int_t)((now - c->arrived) / MU_US_PER_MS), "wait_ms",
+	    (json_int_t)c->req.wait_ms, "program_ms",
+	    (json_int_t)c->req.program_ms, "sent_ms",
 	    c->sent_at != 0
 		? (json_int_t)((c->sent_at - c->arrived) / MU_US_PER_MS)
 		: -1,
@@ -178,7 +180,7 @@
 {
 	c->why = why;
 	if (!mu_call_repeatable(c) || c->tries >= MU_CALL_TRIES ||
-	    c->ran >= c->route->max_endpoints + RERUNS) {
+	    c->ran >= c->route->max_endpoints + MU_CALL_RERUNS) {
 		mu_call_give_up(c, 0, why);
 		return;
 	}
--- a/src/call_private.h
+++ b/src/call_private.h
@@ -10,6 +10,7 @@
 #include "sse.h"
 
 #define MU_CALL_TRIES 6 /* endpoints asked for one request */
+#define MU_CALL_RERUNS 2 /* where it has run, beyond the route's own runs */
 /* About the time to draw or read anew, or until another endpoint is known. */
 #define MU_CALL_RETRY_MS 200
 
