Accept callers once the configuration is known

Ruled out: opening the port later, which refuses connections as a dead host does. Change: connections wait to be accepted until configuration and endpoints have been read, 0.3 s at the most, so that a store that is out is still told at once.

--- a/src/inbound.c
+++ b/src/inbound.c
@@ -34,6 +34,7 @@
 	struct mu_timer timer;
 	struct mu_hook hook;
 	bool run; /* libmicrohttpd has something to do */
+	bool admitted; /* connections are accepted */
 	bool leaving;
 };
 
@@ -305,22 +306,6 @@
 	    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked, sizeof(unacked));
 }
 
-/* Before each wait of the loop: lets libmicrohttpd work while it has to. */
-static void
-run_pending(void *arg)
-{
-	struct mu_inbound *in = arg;
-	MHD_UNSIGNED_LONG_LONG ms;
-
-	while (in->run) {
-		in->run = false;
-		(void)MHD_run(in->daemon);
-	}
-	if (MHD_get_timeout(in->daemon, &ms) == MHD_YES)
-		mu_timer_set(in->loop, &in->timer,
-		    mu_loop_now(in->loop) + (mu_us)ms * MU_US_PER_MS);
-}
-
 static void
 on_ready(void *arg, uint32_t events __attribute__((unused)))
 {
@@ -384,7 +369,44 @@
 	in->watch.events = EPOLLIN;
 	in->watch.fn = on_ready;
 	in->watch.arg = in;
-	return mu_watch_add(in->loop, &in->watch);
+	return 0;
+}
+
+/* Accepts connections once the handler admits callers. */
+static bool
+admit(struct mu_inbound *in)
+{
+	if (in->admitted)
+		return true;
+	if (in->conf.hooks.admits != NULL &&
+	    !in->conf.hooks.admits(in->conf.hooks.arg))
+		return false;
+	if (mu_watch_add(in->loop, &in->watch) != 0) {
+		mu_log(MU_LOG_ERROR, "inbound", "cannot_watch", "{s:s}",
+		    "listen", in->conf.listen);
+		abort();
+	}
+	in->admitted = true;
+	in->run = true;
+	return true;
+}
+
+/* Before each wait of the loop: lets libmicrohttpd work while it has to. */
+static void
+run_pending(void *arg)
+{
+	struct mu_inbound *in = arg;
+	MHD_UNSIGNED_LONG_LONG ms;
+
+	if (!admit(in))
+		return;
+	while (in->run) {
+		in->run = false;
+		(void)MHD_run(in->daemon);
+	}
+	if (MHD_get_timeout(in->daemon, &ms) == MHD_YES)
+		mu_timer_set(in->loop, &in->timer,
+		    mu_loop_now(in->loop) + (mu_us)ms * MU_US_PER_MS);
 }
 
 int
@@ -415,7 +437,6 @@
 	in->timer.arg = in;
 	in->hook.fn = run_pending;
 	in->hook.arg = in;
-	in->run = true;
 	mu_hook_add(l, &in->hook);
 	*out = in;
 	return 0;
@@ -444,7 +465,8 @@
 		return;
 	mu_hook_del(in->loop, &in->hook);
 	mu_timer_clear(in->loop, &in->timer);
-	mu_watch_del(in->loop, &in->watch);
+	if (in->admitted)
+		mu_watch_del(in->loop, &in->watch);
 	MHD_stop_daemon(in->daemon);
 	free(in);
 }
--- a/src/inbound.h
+++ b/src/inbound.h
@@ -24,6 +24,9 @@
 	/* The request is over: answered whole (ok), or the caller has gone or
 	 * the answer was broken off.  r is freed after this. */
 	void (*closed)(void *arg, struct mu_in_req *r, bool ok);
+	/* Asked before each wait of the loop until it is true: connections wait
+	 * to be accepted until then.  NULL: from the start. */
+	bool (*admits)(void *arg);
 };
 
 struct mu_in_conf {
--- a/src/serve.c
+++ b/src/serve.c
@@ -36,6 +36,8 @@
 #define SEED_AGAIN_US (300 * MU_US_PER_MS) /* some times the way of a seed */
 #define SEED_AGE_MAX_US (3600 * MU_US_PER_S) /* older counts as unknown */
 #define STATS_US (10 * MU_US_PER_S)
+/* Some readings of the store; callers give a connection a second. */
+#define ADMIT_LIMIT_US (300 * MU_US_PER_MS)
 #define ANNOUNCE_AGAIN_US (200 * MU_US_PER_MS)
 
 /* Configuration. */
@@ -610,6 +612,13 @@
 	       s->follow_daemons != NULL;
 }
 
+bool
+mu_serve_admits(const struct mu_serve *s)
+{
+	return (s->routes != NULL && s->endpoints_known) ||
+	       mu_loop_now(s->loop) - s->opened >= ADMIT_LIMIT_US;
+}
+
 int
 mu_serve_open(struct mu_serve *s, struct mu_loop *l,
     const struct mu_store_backend *backend, struct mu_error *e)
@@ -626,6 +635,7 @@
 	int rc;
 
 	s->loop = l;
+	s->opened = mu_loop_now(l);
 	s->seed = mu_seed_new();
 	s->store = mu_store_new(l, backend);
 	if (s->seed == NULL || s->store == NULL ||
--- a/src/serve.h
+++ b/src/serve.h
@@ -72,6 +72,7 @@
 	struct mu_quarantine quarantine;
 	struct mu_routes *routes; /* NULL while none is known */
 	bool endpoints_known; /* the list has been read once */
+	mu_us opened;
 	bool leaving;
 	unsigned calls; /* in progress */
 	struct mu_follow *follow_config;
@@ -90,6 +91,14 @@
 void mu_serve_leave(struct mu_serve *s);
 void mu_serve_close(struct mu_serve *s);
 
+/*
+ * Whether callers' connections are accepted.  The load: all daemons start at
+ * once while callers ask on; a request that came before the first reading of
+ * the configuration would be refused, and few callers repeat one more than
+ * once.
+ */
+bool mu_serve_admits(const struct mu_serve *s);
+
 /* Ready for callers: knows what is in force and does not leave. */
 static inline bool
 mu_serve_ready(const struct mu_serve *s)
--- a/test/test_call.c
+++ b/test/test_call.c
@@ -54,6 +54,12 @@
 	unsigned nends;
 };
 
+static bool
+admits(void *arg)
+{
+	return mu_serve_admits(arg);
+}
+
 static int
 setup(void **state)
 {
@@ -84,6 +90,7 @@
 	c.hooks.arg = &f->serve;
 	c.hooks.request = pf_on_caller;
 	c.hooks.closed = pf_on_caller_closed;
+	c.hooks.admits = admits;
 	assert_int_equal(mu_in_open(&f->in, f->loop, &c, &e), 0);
 	*state = f;
 	return 0;
@@ -209,6 +216,31 @@
 	expect(f, TURN("/check/1", "c1", ""), 2000, "no_endpoint");
 }
 
+/* All daemons have just started and callers ask on: what comes before the
+ * configuration is known waits for it, but not for a store that is out. */
+static void
+test_callers_of_the_first_moment(void **state)
+{
+	static const struct kit_step s[] = {{PLAIN, false, false}};
+	struct fixture *f = *state;
+	mu_us began = mu_now(&f->clock);
+
+	(void)endpoint(f, "app", s, 1);
+	expect(f, GET("/look/a", "r1"), 2000, "done");
+	assert_true(mu_now(&f->clock) - began < 250 * MU_US_PER_MS);
+}
+
+static void
+test_callers_of_the_first_moment_without_the_store(void **state)
+{
+	struct fixture *f = *state;
+	mu_us began = mu_now(&f->clock);
+
+	f->mem->fault = MEM_BUSY;
+	expect(f, GET("/look/a", "r1"), 2000, "HTTP/1.1 503");
+	assert_true(mu_now(&f->clock) - began < 700 * MU_US_PER_MS);
+}
+
 /* Refused by one endpoint: another one gets it, also if it runs only once. */
 static void
 test_not_run_goes_elsewhere(void **state)
@@ -499,6 +531,53 @@
 	assert_in_range(e->requests, 0, 1);
 }
 
+/* The same endpoint, once lookups have met it: the orders that follow go to
+ * others, however idle it looks, and none is lost. */
+static void
+test_orders_keep_off_endpoints_that_turn_away(void **state)
+{
+	static const struct kit_step away[] = {{NULL, false, true}};
+	static const struct kit_step s[] = {{PLAIN, false, false}};
+	struct fixture *f = *state;
+	struct kit_end *e = endpoint(f, "app", away, 1);
+	unsigned i;
+
+	ready(f);
+	expect(f, GET("/look/a", "l"), 2000, "HTTP/1.1 502");
+	(void)endpoint(f, "app", s, 1);
+	ready(f);
+	mu_targets_peer(&f->serve.targets, "i-1", 0, 4, 0);
+	i = e->requests;
+	kit_wait(f->loop, 1200); /* longer than it is taken to be down */
+	expect(f, ORDER("o1"), 2000, "done");
+	expect(f, ORDER("o2"), 2000, "done");
+	assert_int_equal(e->requests, i);
+}
+
+/* The load: endpoints that run requests and lose some of the answers.  When
+ * all that the route allows have done so, the last one is asked again. */
+static void
+test_overdue_lookup_is_asked_again_where_it_ran(void **state)
+{
+	static const struct kit_step s[] = {
+	    {NULL, false, false}, {PLAIN, false, false}};
+	struct fixture *f = *state;
+	unsigned i, n = 0;
+
+	for (i = 0; i < ENDS; i++)
+		(void)endpoint(f, "app", s, 2);
+	ready(f);
+	mu_targets_group(&f->serve.targets, "app")->first = 20 * MU_US_PER_MS;
+	/* max_attempts is 3: two endpoints are left, then the last again. */
+	expect(f,
+	    "GET /look/a HTTP/1.1\r\nHost: h\r\nRequest-Id: l1\r\n"
+	    "Deadline-Ms: 5000\r\n\r\n",
+	    4900, "done");
+	for (i = 0; i < ENDS; i++)
+		n += f->end[i]->requests;
+	assert_int_equal(n, ENDS + 1);
+}
+
 /* Found in a recorded day: lookups of one page, at endpoints that flap, were
  * taken for requests that kill endpoints. */
 static void
@@ -784,6 +863,8 @@
 #define T(t) cmocka_unit_test_setup_teardown(t, setup, teardown)
 	    T(test_plain_call_passes_through),
 	    T(test_own_answers),
+	    T(test_callers_of_the_first_moment),
+	    T(test_callers_of_the_first_moment_without_the_store),
 	    T(test_not_run_goes_elsewhere),
 	    T(test_order_runs_once),
 	    T(test_timeout_after_sending_is_no_promise),
@@ -801,6 +882,8 @@
 	    T(test_lines_for_a_failed_request),
 	    T(test_turn_keeps_its_reservation),
 	    T(test_endpoint_that_turns_away_attracts_nothing),
+	    T(test_orders_keep_off_endpoints_that_turn_away),
+	    T(test_overdue_lookup_is_asked_again_where_it_ran),
 	    T(test_endpoints_that_turn_away_accuse_nobody),
 	    T(test_endpoint_is_tried_when_none_is_known_to_be_up),
 	    T(test_turn_without_a_usage_is_whole),
