Give slow endpoints less work: the pace of their answers in the choice

The candidate's figure for pace was never filled in; ejection takes an endpoint out for half a second and one good probe brings it back. Ruled out: longer ejections, which take capacity away in a burst; the median of the service for each choice, which costs a sort of all endpoints. Each event, and each plain answer, is a sample of its endpoint and of its service; the ratio, from 1.5 up, goes into the cost of a place and fades over two seconds without work. Test: test_pace (a replay of the burst), test_targets, test_call.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -207,6 +207,17 @@
 	mu_in_begin(c->in, c->status, c->headers, c->nheaders);
 }
 
+/* The time between two events of one attempt. */
+static void
+time_event(struct mu_call *c)
+{
+	mu_us now = mu_loop_now(c->s->loop);
+
+	if (c->piece_at != 0 && c->target != NULL)
+		mu_target_piece(&c->s->targets, c->target, now - c->piece_at);
+	c->piece_at = now;
+}
+
 /* Passes a whole event on. */
 static int
 on_event(void *arg, const char *data, size_t len)
@@ -219,6 +230,7 @@
 		c->over_budget = true;
 		return MU_E_BUDGET;
 	}
+	time_event(c);
 	mu_in_write(c->in, mu_buf_data(&c->answer), n);
 	mu_buf_take(&c->answer, n);
 	c->event_at = c->sse.fed;
@@ -295,6 +307,8 @@
 		if (x->full_until != MU_US_NEVER)
 			x->full_until = now + FULL_BACK_US;
 	}
+	if (result == MU_HEALTH_SUCCESS && c->route->kind != MU_ROUTE_STREAM)
+		mu_target_piece(&c->s->targets, x, took);
 	if (result == MU_HEALTH_SUCCESS)
 		c->group->call += (took - c->group->call) / SMOOTHING;
 	if (end != MU_UP_WHOLE)
@@ -370,6 +384,7 @@
 	c->late.arg = c;
 	c->tries++;
 	c->overdue = false;
+	c->piece_at = 0;
 	c->sent_at = mu_loop_now(c->s->loop);
 	limit = LATE_FACTOR * c->group->first;
 	mu_timer_set(c->s->loop, &c->late,
--- a/src/call_private.h
+++ b/src/call_private.h
@@ -69,6 +69,7 @@
 	struct mu_buf answer; /* body kept whole, or bytes of an event */
 	struct mu_sse sse;
 	size_t event_at; /* sse.fed at the start of answer */
+	mu_us piece_at; /* last event of this attempt; 0: none yet */
 	uint64_t events; /* passed on */
 	bool over_budget; /* the next event exceeds the reservation */
 	struct mu_buf output; /* data of the events */
--- a/src/targets.c
+++ b/src/targets.c
@@ -415,7 +415,7 @@
 		c[n].warm = mu_up_warm(&x->pool);
 		c[n].near = strcmp(x->info.domain, t->domain) == 0;
 		c[n].doubted = now < x->doubted_until;
-		c[n].slow = 1;
+		c[n].slow = mu_pace_slow(&x->pace, &g->pace, now);
 		n++;
 	}
 	/* None is known to be up: one that was down just now may be back. */
@@ -436,6 +436,12 @@
 		x->info.slots = slots;
 }
 
+void
+mu_target_piece(struct mu_targets *t, struct mu_target *x, mu_us took)
+{
+	mu_pace_sample(&x->pace, &x->group->pace, took, mu_loop_now(t->loop));
+}
+
 void
 mu_target_ended(struct mu_targets *t, struct mu_target *x,
     enum mu_health_result result, mu_us took)
--- a/src/targets.h
+++ b/src/targets.h
@@ -9,6 +9,7 @@
 #include "choose.h"
 #include "eject.h"
 #include "hmap.h"
+#include "pace.h"
 #include "routes.h"
 #include "upstream.h"
 
@@ -49,6 +50,7 @@
 	double others; /* of other callers, when last told */
 	mu_us told_at;
 	struct mu_health health;
+	struct mu_pace pace;
 	mu_us full_until; /* it refused: no work until then */
 	mu_us down_until; /* it could not be reached by this daemon */
 	mu_us down_told; /* as far as peers tell */
@@ -67,6 +69,7 @@
 	struct cds_list_head waiting; /* calls, see call.c */
 	uint32_t nwaiting;
 	mu_us call; /* smoothed time of a call */
+	struct mu_pace pace;
 	mu_us first; /* smoothed time until the first byte of an answer */
 	bool retrying; /* its waiting calls are being looked at */
 	struct mu_timer look; /* when they are looked at again */
@@ -137,6 +140,9 @@
 /* The endpoint says how many requests it has, running and waiting. */
 void mu_target_told(struct mu_target *x, mu_us now, uint32_t running,
     uint32_t waiting, uint32_t slots);
+/* A piece of an answer took so long: an event of a stream, or a plain answer.
+ */
+void mu_target_piece(struct mu_targets *t, struct mu_target *x, mu_us took);
 /* A request there ended. took: time a piece, 0 when unknown. */
 void mu_target_ended(struct mu_targets *t, struct mu_target *x,
     enum mu_health_result result, mu_us took);
--- a/test/test_call.c
+++ b/test/test_call.c
@@ -241,6 +241,26 @@
 	assert_true(mu_now(&f->clock) - began < 700 * MU_US_PER_MS);
 }
 
+/* A plain answer is a piece, and so is each event of a stream after its first.
+ */
+static void
+test_pieces_are_timed(void **state)
+{
+	static const struct kit_step s[] = {{PLAIN, false, false}};
+	static const struct kit_step t[] = {
+	    {CHUNKED PIECE("1") PIECE("2") PIECE("3") LAST, false, false}};
+	struct fixture *f = *state;
+	struct mu_targets *all = &f->serve.targets;
+
+	(void)endpoint(f, "app", s, 1);
+	(void)endpoint(f, "llm", t, 1);
+	ready(f);
+	expect(f, GET("/look/a", "r1"), 2000, "done");
+	expect(f, TURN("/check/1", "t1", ""), 2000, "\r\n0\r\n\r\n");
+	assert_int_equal(mu_targets_group(all, "app")->pace.samples, 1);
+	assert_int_equal(mu_targets_group(all, "llm")->pace.samples, 2);
+}
+
 /* Refused by one endpoint: another one gets it, also if it runs only once. */
 static void
 test_not_run_goes_elsewhere(void **state)
@@ -863,6 +883,7 @@
 #define T(t) cmocka_unit_test_setup_teardown(t, setup, teardown)
 	    T(test_plain_call_passes_through),
 	    T(test_own_answers),
+	    T(test_pieces_are_timed),
 	    T(test_callers_of_the_first_moment),
 	    T(test_callers_of_the_first_moment_without_the_store),
 	    T(test_not_run_goes_elsewhere),
--- /dev/null
+++ b/test/test_pace.c
@@ -0,0 +1,124 @@
+/* test_pace.c -- how much slower an endpoint is, and a replay of a burst on
+ * endpoints of which a quarter works at a fifth of the usual pace. */
+#include <stdarg.h>
+#include <stddef.h>
+#include <setjmp.h>
+#include <stdint.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "choose.h"
+#include "pace.h"
+
+#define MS MU_US_PER_MS
+#define ENDPOINTS 12
+#define SLOW 3 /* of them */
+#define PIECE (20 * MS)
+#define FACTOR 6
+
+static void
+test_unknown_is_not_slow(void **state)
+{
+	struct mu_pace e = {0}, s = {0};
+	int i;
+
+	(void)state;
+	assert_true(mu_pace_slow(&e, &s, MU_US_PER_S) == 1);
+	for (i = 0; i < 100; i++)
+		mu_pace_sample(&(struct mu_pace){0}, &s, PIECE, MU_US_PER_S);
+	mu_pace_sample(&e, &s, 10 * PIECE, MU_US_PER_S);
+	assert_true(mu_pace_slow(&e, &s, MU_US_PER_S) == 1);
+}
+
+static void
+test_differences_of_load_are_not_slow(void **state)
+{
+	struct mu_pace e = {0}, other = {0}, s = {0};
+	int i;
+
+	(void)state;
+	for (i = 0; i < 100; i++) {
+		mu_pace_sample(&other, &s, PIECE, MU_US_PER_S);
+		mu_pace_sample(&e, &s, PIECE + PIECE / 2, MU_US_PER_S);
+	}
+	assert_true(mu_pace_slow(&e, &s, MU_US_PER_S) == 1);
+}
+
+/* One answer shows a slow endpoint; without work it is tried again. */
+static void
+test_slow_is_seen_and_fades(void **state)
+{
+	struct mu_pace e = {0}, other = {0}, s = {0};
+	double now, later;
+	int i;
+
+	(void)state;
+	for (i = 0; i < 500; i++)
+		mu_pace_sample(&other, &s, PIECE, MU_US_PER_S);
+	for (i = 0; i < 16; i++)
+		mu_pace_sample(&e, &s, FACTOR * PIECE, MU_US_PER_S);
+	now = mu_pace_slow(&e, &s, MU_US_PER_S);
+	later = mu_pace_slow(&e, &s, 7 * MU_US_PER_S);
+	assert_true(now > 4 && now <= 8);
+	assert_true(later > 1 && later < 1.5);
+	for (i = 0; i < 64; i++)
+		mu_pace_sample(&e, &s, PIECE, 8 * MU_US_PER_S);
+	assert_true(mu_pace_slow(&e, &s, 8 * MU_US_PER_S) < 1.8);
+}
+
+/* Pieces that requests of a burst wait for, all together. */
+static double
+replay(bool paced)
+{
+	struct mu_candidate c[ENDPOINTS];
+	struct mu_demand d = {16 * PIECE, 6, 4 * MU_US_PER_S, false};
+	struct mu_pace e[ENDPOINTS], s = {0};
+	uint64_t rng = 1;
+	double total = 0;
+	mu_us piece;
+	int i, k, n;
+
+	memset(e, 0, sizeof(e));
+	memset(c, 0, sizeof(c));
+	for (n = 0; n < 600; n++) {
+		for (k = 0; k < ENDPOINTS; k++) {
+			c[k].usable = c[k].near = true;
+			c[k].slots = 48;
+			c[k].slow =
+			    paced ? mu_pace_slow(&e[k], &s, n * 5 * MS) : 1;
+		}
+		i = (int)mu_choose(c, ENDPOINTS, &d, &rng).index;
+		piece = (i < SLOW ? FACTOR : 1) * PIECE;
+		for (k = 0; k < 16; k++)
+			mu_pace_sample(&e[i], &s, piece, n * 5 * MS);
+		total += (double)piece / PIECE;
+		c[i].sent++;
+		if (n >= 200) /* those of a second before have ended */
+			for (k = 0; k < ENDPOINTS; k++)
+				c[k].sent -= c[k].sent > 16;
+	}
+	return total / 600;
+}
+
+static void
+test_burst_on_endpoints_of_which_some_are_slow(void **state)
+{
+	double with = replay(true), without = replay(false);
+
+	(void)state;
+	assert_true(without > 2);
+	assert_true(with < 1.5);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_unknown_is_not_slow),
+	    cmocka_unit_test(test_differences_of_load_are_not_slow),
+	    cmocka_unit_test(test_slow_is_seen_and_fades),
+	    cmocka_unit_test(test_burst_on_endpoints_of_which_some_are_slow),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/test/test_targets.c
+++ b/test/test_targets.c
@@ -264,6 +264,31 @@
 	assert_false(doubted(f, "e2"));
 }
 
+/* The time of the pieces of its answers tells a slow endpoint. */
+static void
+test_pieces_tell_the_pace(void **state)
+{
+	struct fixture *f = *state;
+	struct mu_candidate c[MU_CHOOSE_MAX];
+	struct mu_target *who[MU_CHOOSE_MAX];
+	uint32_t i, n;
+	int k;
+
+	entry(f, "e1", 100, 5, false);
+	entry(f, "e2", 100, 5, false);
+	n = mu_group_view(&f->targets, f->group, c, who);
+	for (i = 0; i < n; i++)
+		for (k = 0; k < 100; k++)
+			mu_target_piece(&f->targets, who[i],
+			    strcmp(who[i]->info.name, "e1") == 0 ? 90000
+								 : 10000);
+	n = mu_group_view(&f->targets, f->group, c, who);
+	for (i = 0; i < n; i++)
+		assert_true(strcmp(who[i]->info.name, "e1") == 0
+				? c[i].slow > 1.5
+				: c[i].slow == 1);
+}
+
 int
 main(void)
 {
@@ -277,6 +302,7 @@
 	    T(test_peer_says_leaving),
 	    T(test_lapsed_entries_come_back),
 	    T(test_doubt_ends_with_an_answer),
+	    T(test_pieces_tell_the_pace),
 #undef T
 	};
 
