--- a/src/call.c
+++ b/src/call.c
@@ -406,7 +406,7 @@
 	struct mu_serve *s = c->s;
 	const char *service, *by = c->req.program;
 
-	if (s->routes == NULL || !s->endpoints_known) {
+	if (!mu_serve_informed(s)) {
 		mu_call_refuse(c, 503, MU_CALL_RETRY_MS, "no_configuration");
 		return false;
 	}
--- a/src/choose.h
+++ b/src/choose.h
@@ -21,7 +21,7 @@
 	bool warm; /* a connection to it is kept */
 	bool near; /* in this daemon's failure domain */
 	bool doubted; /* it broke a request off and has not answered since */
-	double slow; /* time a piece over the median; 1: as others */
+	double slow; /* time a piece over the service's; 1: as others */
 	uint32_t missing; /* prompt tokens that it has to read */
 };
 
--- a/src/serve.c
+++ b/src/serve.c
@@ -424,12 +424,6 @@
 
 /* What peers know, for a daemon that starts without the store. */
 
-static bool
-knows_enough(const struct mu_serve *s)
-{
-	return s->routes != NULL && s->endpoints_known;
-}
-
 /* A peer lives and serves: it is asked while the store does not answer. */
 static void
 on_any_beat(void *arg, struct mu_mesh_link *from, const Mu__Beat *b)
@@ -439,7 +433,7 @@
 	Mu__Frame f = MU__FRAME__INIT;
 	Mu__SeedAsk q = MU__SEED_ASK__INIT;
 
-	if (knows_enough(s) || !b->ready || mu_store_ok(s->store) ||
+	if (mu_serve_informed(s) || !b->ready || mu_store_ok(s->store) ||
 	    (s->seed_asked != 0 && now - s->seed_asked < SEED_AGAIN_US))
 		return;
 	s->seed_asked = now;
@@ -456,7 +450,7 @@
 	Mu__Frame f = MU__FRAME__INIT;
 	Mu__Seed seed = MU__SEED__INIT;
 
-	if (!knows_enough(s))
+	if (!mu_serve_informed(s))
 		return;
 	seed.age_ms =
 	    age < SEED_AGE_MAX_US ? (uint32_t)(age / MU_US_PER_MS) : UINT32_MAX;
@@ -489,7 +483,7 @@
 {
 	size_t n;
 
-	if (knows_enough(s))
+	if (mu_serve_informed(s))
 		return;
 	n = mu_seed_each(seed, take_row, s);
 	s->endpoints_known = s->routes != NULL;
@@ -615,7 +609,7 @@
 bool
 mu_serve_admits(const struct mu_serve *s)
 {
-	return (s->routes != NULL && s->endpoints_known) ||
+	return mu_serve_informed(s) ||
 	       mu_loop_now(s->loop) - s->opened >= ADMIT_LIMIT_US;
 }
 
--- a/src/serve.h
+++ b/src/serve.h
@@ -99,11 +99,18 @@
  */
 bool mu_serve_admits(const struct mu_serve *s);
 
+/* Whether configuration and endpoints are known. */
+static inline bool
+mu_serve_informed(const struct mu_serve *s)
+{
+	return s->routes != NULL && s->endpoints_known;
+}
+
 /* Ready for callers: knows what is in force and does not leave. */
 static inline bool
 mu_serve_ready(const struct mu_serve *s)
 {
-	return s->routes != NULL && s->endpoints_known && !s->leaving;
+	return mu_serve_informed(s) && !s->leaving;
 }
 
 #endif
--- a/src/store.h
+++ b/src/store.h
@@ -55,8 +55,6 @@
 /* Whether the store answers neither this daemon nor a peer: operations wait.
  */
 bool mu_store_out(const struct mu_store *s);
-/* The same for one part of a table. */
-bool mu_store_part_out(struct mu_store *s, const char *table, const char *part);
 /* Whether the part failed lately while others answered. */
 bool
 mu_store_part_suspect(struct mu_store *s, const char *table, const char *part);
--- a/test/test_targets.c
+++ b/test/test_targets.c
@@ -58,18 +58,19 @@
 	mu_targets_learn(&f->targets, &i);
 }
 
+/* The endpoint and how it is seen; all zero when it is not there. */
 static struct mu_target *
-view(struct fixture *f, const char *name, bool *usable)
+view(struct fixture *f, const char *name, struct mu_candidate *seen)
 {
 	struct mu_candidate c[MU_CHOOSE_MAX];
 	struct mu_target *who[MU_CHOOSE_MAX], *x = NULL;
 	uint32_t i, n;
 
-	*usable = false;
+	memset(seen, 0, sizeof(*seen));
 	n = mu_group_view(&f->targets, f->group, c, who);
 	for (i = 0; i < n; i++)
 		if (strcmp(who[i]->info.name, name) == 0) {
-			*usable = c[i].usable;
+			*seen = c[i];
 			x = who[i];
 		}
 	return x;
@@ -78,18 +79,27 @@
 static bool
 usable(struct fixture *f, const char *name)
 {
-	bool u;
+	struct mu_candidate c;
 
-	(void)view(f, name, &u);
-	return u;
+	(void)view(f, name, &c);
+	return c.usable;
+}
+
+static bool
+doubted(struct fixture *f, const char *name)
+{
+	struct mu_candidate c;
+
+	(void)view(f, name, &c);
+	return c.doubted;
 }
 
 static void
 says_leaving(struct fixture *f, const char *name)
 {
-	bool u;
+	struct mu_candidate c;
 
-	mu_target_said_leaving(view(f, name, &u));
+	mu_target_said_leaving(view(f, name, &c));
 }
 
 /* An entry that still says ready does not bring it back, also one written
@@ -213,31 +223,18 @@
 	assert_int_equal(f->targets.by_name.count, 4);
 }
 
-static bool
-doubted(struct fixture *f, const char *name)
-{
-	struct mu_candidate c[MU_CHOOSE_MAX];
-	struct mu_target *who[MU_CHOOSE_MAX];
-	uint32_t i, n = mu_group_view(&f->targets, f->group, c, who);
-
-	for (i = 0; i < n; i++)
-		if (strcmp(who[i]->info.name, name) == 0)
-			return c[i].doubted;
-	return false;
-}
-
 /* An endpoint that broke a request off is doubted until it answers, or for
  * some seconds; a peer's word does the same. */
 static void
 test_doubt_ends_with_an_answer(void **state)
 {
 	struct fixture *f = *state;
+	struct mu_candidate c;
 	struct mu_target *x;
-	bool u;
 
 	entry(f, "e1", 100, 5, false);
 	entry(f, "e2", 100, 5, false);
-	x = view(f, "e1", &u);
+	x = view(f, "e1", &c);
 	assert_false(doubted(f, "e1"));
 	mu_target_ended(&f->targets, x, MU_HEALTH_FAILURE, 0);
 	assert_true(doubted(f, "e1"));
@@ -269,24 +266,22 @@
 test_pieces_tell_the_pace(void **state)
 {
 	struct fixture *f = *state;
-	struct mu_candidate c[MU_CHOOSE_MAX];
-	struct mu_target *who[MU_CHOOSE_MAX];
-	uint32_t i, n;
+	struct mu_candidate c;
+	struct mu_target *e1, *e2;
 	int k;
 
 	entry(f, "e1", 100, 5, false);
 	entry(f, "e2", 100, 5, false);
-	n = mu_group_view(&f->targets, f->group, c, who);
-	for (i = 0; i < n; i++)
-		for (k = 0; k < 100; k++)
-			mu_target_piece(&f->targets, who[i],
-			    strcmp(who[i]->info.name, "e1") == 0 ? 90000
-								 : 10000);
-	n = mu_group_view(&f->targets, f->group, c, who);
-	for (i = 0; i < n; i++)
-		assert_true(strcmp(who[i]->info.name, "e1") == 0
-				? c[i].slow > 1.5
-				: c[i].slow == 1);
+	e1 = view(f, "e1", &c);
+	e2 = view(f, "e2", &c);
+	for (k = 0; k < 100; k++) {
+		mu_target_piece(&f->targets, e1, 90000);
+		mu_target_piece(&f->targets, e2, 10000);
+	}
+	(void)view(f, "e1", &c);
+	assert_true(c.slow > 1.5);
+	(void)view(f, "e2", &c);
+	assert_true(c.slow == 1);
 }
 
 int
