--- a/src/call.c
+++ b/src/call.c
@@ -30,7 +30,7 @@
 /* Longest wait for an unavailable store.  After it the caller is told to retry:
  * programs that start late in an outage still continue as soon as it ends, and
  * no request is held until its deadline. */
-#define BEGIN_TIMEOUT_US (1 * MU_US_PER_S)
+#define TURN_START_TIMEOUT_US (1 * MU_US_PER_S)
 #define RETRY_AFTER_OUTAGE_MS 400
 #define RETRY_AFTER_OVERLOAD_MS 250
 /* Some turns end within this time, and a caller can retry several times. */
@@ -392,8 +392,8 @@
 	b.only_begun = c->req.previous == NULL &&
 		       !mu_choose_admit_program(
 			   mu_group_utilization(&c->s->targets, c->group));
-	b.deadline = c->arrived + BEGIN_TIMEOUT_US < c->deadline
-			 ? c->arrived + BEGIN_TIMEOUT_US
+	b.deadline = c->arrived + TURN_START_TIMEOUT_US < c->deadline
+			 ? c->arrived + TURN_START_TIMEOUT_US
 			 : c->deadline;
 	c->state = ST_PREPARING;
 	c->references++;
--- a/src/serve.c
+++ b/src/serve.c
@@ -189,11 +189,11 @@
 /* Publishes this daemon's row only after the bootstrap check, since it replaces
  * the row of an earlier process. */
 static void
-on_bootstrap_decided(void *arg, bool founder)
+on_bootstrap_decided(void *arg, bool first_start)
 {
 	struct mu_serve *s = arg;
 
-	if (founder)
+	if (first_start)
 		mu_loans_skip_grace(s->loans);
 	mu_timer_set(s->loop, &s->announce_timer, mu_loop_now(s->loop));
 }
--- a/test/fault/proc.h
+++ b/test/fault/proc.h
@@ -167,7 +167,7 @@
 	int daemons;
 	int engines;
 	int services;
-	unsigned relays; /* CLUSTER_WIRE_ bits */
+	unsigned relays; /* CLUSTER_RELAY_ bits */
 	unsigned slots;
 	unsigned lease_ms;
 	unsigned renew_ms;
