--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1177,6 +1177,141 @@
   assert(message->base.descriptor == &mu__seed__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mu__limit_ask__init
+                     (Mu__LimitAsk         *message)
+{
+  static const Mu__LimitAsk init_value = MU__LIMIT_ASK__INIT;
+  *message = init_value;
+}
+size_t mu__limit_ask__get_packed_size
+                     (const Mu__LimitAsk *message)
+{
+  assert(message->base.descriptor == &mu__limit_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mu__limit_ask__pack
+                     (const Mu__LimitAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mu__limit_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mu__limit_ask__pack_to_buffer
+                     (const Mu__LimitAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mu__limit_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mu__LimitAsk *
+       mu__limit_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mu__LimitAsk *)
+     protobuf_c_message_unpack (&mu__limit_ask__descriptor,
+                                allocator, len, data);
+}
+void   mu__limit_ask__free_unpacked
+                     (Mu__LimitAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mu__limit_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mu__limit_answer__init
+                     (Mu__LimitAnswer         *message)
+{
+  static const Mu__LimitAnswer init_value = MU__LIMIT_ANSWER__INIT;
+  *message = init_value;
+}
+size_t mu__limit_answer__get_packed_size
+                     (const Mu__LimitAnswer *message)
+{
+  assert(message->base.descriptor == &mu__limit_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mu__limit_answer__pack
+                     (const Mu__LimitAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mu__limit_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mu__limit_answer__pack_to_buffer
+                     (const Mu__LimitAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mu__limit_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mu__LimitAnswer *
+       mu__limit_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mu__LimitAnswer *)
+     protobuf_c_message_unpack (&mu__limit_answer__descriptor,
+                                allocator, len, data);
+}
+void   mu__limit_answer__free_unpacked
+                     (Mu__LimitAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mu__limit_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mu__limit_note__init
+                     (Mu__LimitNote         *message)
+{
+  static const Mu__LimitNote init_value = MU__LIMIT_NOTE__INIT;
+  *message = init_value;
+}
+size_t mu__limit_note__get_packed_size
+                     (const Mu__LimitNote *message)
+{
+  assert(message->base.descriptor == &mu__limit_note__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mu__limit_note__pack
+                     (const Mu__LimitNote *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mu__limit_note__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mu__limit_note__pack_to_buffer
+                     (const Mu__LimitNote *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mu__limit_note__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mu__LimitNote *
+       mu__limit_note__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mu__LimitNote *)
+     protobuf_c_message_unpack (&mu__limit_note__descriptor,
+                                allocator, len, data);
+}
+void   mu__limit_note__free_unpacked
+                     (Mu__LimitNote *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mu__limit_note__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mu__frame__init
                      (Mu__Frame         *message)
 {
@@ -2069,7 +2204,7 @@
   (ProtobufCMessageInit) mu__endpoint_use__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mu__beat__field_descriptors[8] =
+static const ProtobufCFieldDescriptor mu__beat__field_descriptors[9] =
 {
   {
     "host",
@@ -2167,8 +2302,21 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_version",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Beat, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mu__beat__field_indices_by_name[] = {
+  8,   /* field[8] = config_version */
   0,   /* field[0] = host */
   1,   /* field[1] = incarnation */
   2,   /* field[2] = leaving */
@@ -2182,7 +2330,7 @@
 {
   { 1, 0 },
   { 6, 4 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor mu__beat__descriptor =
 {
@@ -2192,7 +2340,7 @@
   "Mu__Beat",
   "mu",
   sizeof(Mu__Beat),
-  8,
+  9,
   mu__beat__field_descriptors,
   mu__beat__field_indices_by_name,
   2,  mu__beat__number_ranges,
@@ -2373,7 +2521,7 @@
   mu__granted__status__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor mu__granted__field_descriptors[6] =
+static const ProtobufCFieldDescriptor mu__granted__field_descriptors[7] =
 {
   {
     "id",
@@ -2447,9 +2595,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "first_turn",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mu__Granted, first_turn),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mu__granted__field_indices_by_name[] = {
   3,   /* field[3] = endpoint */
+  6,   /* field[6] = first_turn */
   4,   /* field[4] = held */
   2,   /* field[2] = history */
   0,   /* field[0] = id */
@@ -2459,7 +2620,7 @@
 static const ProtobufCIntRange mu__granted__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor mu__granted__descriptor =
 {
@@ -2469,7 +2630,7 @@
   "Mu__Granted",
   "mu",
   sizeof(Mu__Granted),
-  6,
+  7,
   mu__granted__field_descriptors,
   mu__granted__field_indices_by_name,
   1,  mu__granted__number_ranges,
@@ -3697,7 +3858,382 @@
   (ProtobufCMessageInit) mu__seed__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mu__frame__field_descriptors[16] =
+static const ProtobufCEnumValue mu__limit_ask__hop__enum_values_by_number[3] =
+{
+  { "DOMAIN", "MU__LIMIT_ASK__HOP__DOMAIN", 0 },
+  { "ROOT_DOMAIN", "MU__LIMIT_ASK__HOP__ROOT_DOMAIN", 1 },
+  { "ROOT", "MU__LIMIT_ASK__HOP__ROOT", 2 },
+};
+static const ProtobufCIntRange mu__limit_ask__hop__value_ranges[] = {
+{0, 0},{0, 3}
+};
+static const ProtobufCEnumValueIndex mu__limit_ask__hop__enum_values_by_name[3] =
+{
+  { "DOMAIN", 0 },
+  { "ROOT", 2 },
+  { "ROOT_DOMAIN", 1 },
+};
+const ProtobufCEnumDescriptor mu__limit_ask__hop__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "mu.LimitAsk.Hop",
+  "Hop",
+  "Mu__LimitAsk__Hop",
+  "mu",
+  3,
+  mu__limit_ask__hop__enum_values_by_number,
+  3,
+  mu__limit_ask__hop__enum_values_by_name,
+  1,
+  mu__limit_ask__hop__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
+static const ProtobufCEnumValue mu__limit_ask__kind__enum_values_by_number[3] =
+{
+  { "SINGLE", "MU__LIMIT_ASK__KIND__SINGLE", 0 },
+  { "IN_PROGRAM", "MU__LIMIT_ASK__KIND__IN_PROGRAM", 1 },
+  { "MAY_START", "MU__LIMIT_ASK__KIND__MAY_START", 2 },
+};
+static const ProtobufCIntRange mu__limit_ask__kind__value_ranges[] = {
+{0, 0},{0, 3}
+};
+static const ProtobufCEnumValueIndex mu__limit_ask__kind__enum_values_by_name[3] =
+{
+  { "IN_PROGRAM", 1 },
+  { "MAY_START", 2 },
+  { "SINGLE", 0 },
+};
+const ProtobufCEnumDescriptor mu__limit_ask__kind__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "mu.LimitAsk.Kind",
+  "Kind",
+  "Mu__LimitAsk__Kind",
+  "mu",
+  3,
+  mu__limit_ask__kind__enum_values_by_number,
+  3,
+  mu__limit_ask__kind__enum_values_by_name,
+  1,
+  mu__limit_ask__kind__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
+static const ProtobufCFieldDescriptor mu__limit_ask__field_descriptors[7] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mu__LimitAsk, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hop",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Mu__LimitAsk, hop),
+    &mu__limit_ask__hop__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Mu__LimitAsk, kind),
+    &mu__limit_ask__kind__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "customer",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mu__LimitAsk, customer),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "admitted",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mu__LimitAsk, admitted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_root",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mu__LimitAsk, last_root),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_root_age_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mu__LimitAsk, last_root_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mu__limit_ask__field_indices_by_name[] = {
+  4,   /* field[4] = admitted */
+  3,   /* field[3] = customer */
+  1,   /* field[1] = hop */
+  0,   /* field[0] = id */
+  2,   /* field[2] = kind */
+  5,   /* field[5] = last_root */
+  6,   /* field[6] = last_root_age_ms */
+};
+static const ProtobufCIntRange mu__limit_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor mu__limit_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mu.LimitAsk",
+  "LimitAsk",
+  "Mu__LimitAsk",
+  "mu",
+  sizeof(Mu__LimitAsk),
+  7,
+  mu__limit_ask__field_descriptors,
+  mu__limit_ask__field_indices_by_name,
+  1,  mu__limit_ask__number_ranges,
+  (ProtobufCMessageInit) mu__limit_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCEnumValue mu__limit_answer__status__enum_values_by_number[4] =
+{
+  { "UNAVAILABLE", "MU__LIMIT_ANSWER__STATUS__UNAVAILABLE", 0 },
+  { "ADMITTED", "MU__LIMIT_ANSWER__STATUS__ADMITTED", 1 },
+  { "ADMITTED_STARTED", "MU__LIMIT_ANSWER__STATUS__ADMITTED_STARTED", 2 },
+  { "REFUSED", "MU__LIMIT_ANSWER__STATUS__REFUSED", 3 },
+};
+static const ProtobufCIntRange mu__limit_answer__status__value_ranges[] = {
+{0, 0},{0, 4}
+};
+static const ProtobufCEnumValueIndex mu__limit_answer__status__enum_values_by_name[4] =
+{
+  { "ADMITTED", 1 },
+  { "ADMITTED_STARTED", 2 },
+  { "REFUSED", 3 },
+  { "UNAVAILABLE", 0 },
+};
+const ProtobufCEnumDescriptor mu__limit_answer__status__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "mu.LimitAnswer.Status",
+  "Status",
+  "Mu__LimitAnswer__Status",
+  "mu",
+  4,
+  mu__limit_answer__status__enum_values_by_number,
+  4,
+  mu__limit_answer__status__enum_values_by_name,
+  1,
+  mu__limit_answer__status__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
+static const ProtobufCFieldDescriptor mu__limit_answer__field_descriptors[5] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mu__LimitAnswer, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "status",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Mu__LimitAnswer, status),
+    &mu__limit_answer__status__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mu__LimitAnswer, retry_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ample",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mu__LimitAnswer, ample),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "root",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mu__LimitAnswer, root),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mu__limit_answer__field_indices_by_name[] = {
+  3,   /* field[3] = ample */
+  0,   /* field[0] = id */
+  2,   /* field[2] = retry_after_ms */
+  4,   /* field[4] = root */
+  1,   /* field[1] = status */
+};
+static const ProtobufCIntRange mu__limit_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor mu__limit_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mu.LimitAnswer",
+  "LimitAnswer",
+  "Mu__LimitAnswer",
+  "mu",
+  sizeof(Mu__LimitAnswer),
+  5,
+  mu__limit_answer__field_descriptors,
+  mu__limit_answer__field_indices_by_name,
+  1,  mu__limit_answer__number_ranges,
+  (ProtobufCMessageInit) mu__limit_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mu__limit_note__field_descriptors[4] =
+{
+  {
+    "hop",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Mu__LimitNote, hop),
+    &mu__limit_ask__hop__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "customer",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mu__LimitNote, customer),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refunds",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mu__LimitNote, refunds),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "programs",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mu__LimitNote, programs),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mu__limit_note__field_indices_by_name[] = {
+  1,   /* field[1] = customer */
+  0,   /* field[0] = hop */
+  3,   /* field[3] = programs */
+  2,   /* field[2] = refunds */
+};
+static const ProtobufCIntRange mu__limit_note__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor mu__limit_note__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mu.LimitNote",
+  "LimitNote",
+  "Mu__LimitNote",
+  "mu",
+  sizeof(Mu__LimitNote),
+  4,
+  mu__limit_note__field_descriptors,
+  mu__limit_note__field_indices_by_name,
+  1,  mu__limit_note__number_ranges,
+  (ProtobufCMessageInit) mu__limit_note__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mu__frame__field_descriptors[19] =
 {
   {
     "hello",
@@ -3891,6 +4427,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limit_ask",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mu__Frame, body_case),
+    offsetof(Mu__Frame, limit_ask),
+    &mu__limit_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_answer",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mu__Frame, body_case),
+    offsetof(Mu__Frame, limit_answer),
+    &mu__limit_answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_note",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mu__Frame, body_case),
+    offsetof(Mu__Frame, limit_note),
+    &mu__limit_note__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mu__frame__field_indices_by_name[] = {
   6,   /* field[6] = beat */
@@ -3903,6 +4475,9 @@
   13,   /* field[13] = guaranteed */
   1,   /* field[1] = heartbeat */
   0,   /* field[0] = hello */
+  17,   /* field[17] = limit_answer */
+  16,   /* field[16] = limit_ask */
+  18,   /* field[18] = limit_note */
   10,   /* field[10] = relay */
   11,   /* field[11] = relayed */
   4,   /* field[4] = result */
@@ -3913,7 +4488,7 @@
 static const ProtobufCIntRange mu__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor mu__frame__descriptor =
 {
@@ -3923,7 +4498,7 @@
   "Mu__Frame",
   "mu",
   sizeof(Mu__Frame),
-  16,
+  19,
   mu__frame__field_descriptors,
   mu__frame__field_indices_by_name,
   1,  mu__frame__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -41,6 +41,9 @@
 typedef struct Mu__Guaranteed Mu__Guaranteed;
 typedef struct Mu__SeedAsk Mu__SeedAsk;
 typedef struct Mu__Seed Mu__Seed;
+typedef struct Mu__LimitAsk Mu__LimitAsk;
+typedef struct Mu__LimitAnswer Mu__LimitAnswer;
+typedef struct Mu__LimitNote Mu__LimitNote;
 typedef struct Mu__Frame Mu__Frame;
 
 
@@ -110,6 +113,40 @@
   MU__STORE_RESULT__STATUS__INVALID = 5
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MU__STORE_RESULT__STATUS)
 } Mu__StoreResult__Status;
+typedef enum _Mu__LimitAsk__Hop {
+  /*
+   * to the customer's home in the sender's domain
+   */
+  MU__LIMIT_ASK__HOP__DOMAIN = 0,
+  /*
+   * to any daemon of the domain that keeps the bucket
+   */
+  MU__LIMIT_ASK__HOP__ROOT_DOMAIN = 1,
+  /*
+   * within that domain, to the daemon that keeps it
+   */
+  MU__LIMIT_ASK__HOP__ROOT = 2
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MU__LIMIT_ASK__HOP)
+} Mu__LimitAsk__Hop;
+typedef enum _Mu__LimitAsk__Kind {
+  MU__LIMIT_ASK__KIND__SINGLE = 0,
+  MU__LIMIT_ASK__KIND__IN_PROGRAM = 1,
+  MU__LIMIT_ASK__KIND__MAY_START = 2
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MU__LIMIT_ASK__KIND)
+} Mu__LimitAsk__Kind;
+typedef enum _Mu__LimitAnswer__Status {
+  /*
+   * the sender cannot decide
+   */
+  MU__LIMIT_ANSWER__STATUS__UNAVAILABLE = 0,
+  MU__LIMIT_ANSWER__STATUS__ADMITTED = 1,
+  /*
+   * only if its program has started
+   */
+  MU__LIMIT_ANSWER__STATUS__ADMITTED_STARTED = 2,
+  MU__LIMIT_ANSWER__STATUS__REFUSED = 3
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MU__LIMIT_ANSWER__STATUS)
+} Mu__LimitAnswer__Status;
 
 /* --- messages --- */
 
@@ -363,10 +400,14 @@
    */
   size_t n_quarantined;
   uint64_t *quarantined;
+  /*
+   * in force at the sender; 0: none
+   */
+  uint64_t config_version;
 };
 #define MU__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mu__beat__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 /*
@@ -436,10 +477,14 @@
    * reserved; the turn must not use more
    */
   uint64_t tokens;
+  /*
+   * of the program, as far as its home knows
+   */
+  protobuf_c_boolean first_turn;
 };
 #define MU__GRANTED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mu__granted__descriptor) \
-    , 0, MU__GRANTED__STATUS__OK, {0,NULL}, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, MU__GRANTED__STATUS__OK, {0,NULL}, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
@@ -753,6 +798,82 @@
     , 0,NULL, 0 }
 
 
+/*
+ * Asks for a token of a customer's rate limit (docs/design/limits.md).
+ */
+struct  Mu__LimitAsk
+{
+  ProtobufCMessage base;
+  /*
+   * unique on the link, chosen by the sender
+   */
+  uint64_t id;
+  Mu__LimitAsk__Hop hop;
+  Mu__LimitAsk__Kind kind;
+  char *customer;
+  /*
+   * already; the answer only tells the state
+   */
+  protobuf_c_boolean admitted;
+  /*
+   * incarnation of the daemon that decided last for
+   */
+  uint64_t last_root;
+  /*
+   * this customer; 0: none lately
+   */
+  /*
+   * time since that decision
+   */
+  uint32_t last_root_age_ms;
+};
+#define MU__LIMIT_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mu__limit_ask__descriptor) \
+    , 0, MU__LIMIT_ASK__HOP__DOMAIN, MU__LIMIT_ASK__KIND__SINGLE, (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+struct  Mu__LimitAnswer
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  Mu__LimitAnswer__Status status;
+  uint32_t retry_after_ms;
+  /*
+   * the customer is far below its limit
+   */
+  protobuf_c_boolean ample;
+  /*
+   * incarnation of the daemon that decided
+   */
+  uint64_t root;
+};
+#define MU__LIMIT_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mu__limit_answer__descriptor) \
+    , 0, MU__LIMIT_ANSWER__STATUS__UNAVAILABLE, 0, 0, 0 }
+
+
+/*
+ * Corrects a customer's bucket; takes the way of a LimitAsk.
+ */
+struct  Mu__LimitNote
+{
+  ProtobufCMessage base;
+  Mu__LimitAsk__Hop hop;
+  char *customer;
+  /*
+   * tokens of requests that did not run
+   */
+  uint32_t refunds;
+  /*
+   * programs that started
+   */
+  uint32_t programs;
+};
+#define MU__LIMIT_NOTE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mu__limit_note__descriptor) \
+    , MU__LIMIT_ASK__HOP__DOMAIN, (char *)protobuf_c_empty_string, 0, 0 }
+
+
 typedef enum {
   MU__FRAME__BODY__NOT_SET = 0,
   MU__FRAME__BODY_HELLO = 1,
@@ -770,7 +891,10 @@
   MU__FRAME__BODY_GUARANTEE = 13,
   MU__FRAME__BODY_GUARANTEED = 14,
   MU__FRAME__BODY_SEED_ASK = 15,
-  MU__FRAME__BODY_SEED = 16
+  MU__FRAME__BODY_SEED = 16,
+  MU__FRAME__BODY_LIMIT_ASK = 17,
+  MU__FRAME__BODY_LIMIT_ANSWER = 18,
+  MU__FRAME__BODY_LIMIT_NOTE = 19
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MU__FRAME__BODY__CASE)
 } Mu__Frame__BodyCase;
 
@@ -795,6 +919,9 @@
     Mu__Guaranteed *guaranteed;
     Mu__SeedAsk *seed_ask;
     Mu__Seed *seed;
+    Mu__LimitAsk *limit_ask;
+    Mu__LimitAnswer *limit_answer;
+    Mu__LimitNote *limit_note;
   };
 };
 #define MU__FRAME__INIT \
@@ -1296,6 +1423,63 @@
 void   mu__seed__free_unpacked
                      (Mu__Seed *message,
                       ProtobufCAllocator *allocator);
+/* Mu__LimitAsk methods */
+void   mu__limit_ask__init
+                     (Mu__LimitAsk         *message);
+size_t mu__limit_ask__get_packed_size
+                     (const Mu__LimitAsk   *message);
+size_t mu__limit_ask__pack
+                     (const Mu__LimitAsk   *message,
+                      uint8_t             *out);
+size_t mu__limit_ask__pack_to_buffer
+                     (const Mu__LimitAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Mu__LimitAsk *
+       mu__limit_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mu__limit_ask__free_unpacked
+                     (Mu__LimitAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Mu__LimitAnswer methods */
+void   mu__limit_answer__init
+                     (Mu__LimitAnswer         *message);
+size_t mu__limit_answer__get_packed_size
+                     (const Mu__LimitAnswer   *message);
+size_t mu__limit_answer__pack
+                     (const Mu__LimitAnswer   *message,
+                      uint8_t             *out);
+size_t mu__limit_answer__pack_to_buffer
+                     (const Mu__LimitAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Mu__LimitAnswer *
+       mu__limit_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mu__limit_answer__free_unpacked
+                     (Mu__LimitAnswer *message,
+                      ProtobufCAllocator *allocator);
+/* Mu__LimitNote methods */
+void   mu__limit_note__init
+                     (Mu__LimitNote         *message);
+size_t mu__limit_note__get_packed_size
+                     (const Mu__LimitNote   *message);
+size_t mu__limit_note__pack
+                     (const Mu__LimitNote   *message,
+                      uint8_t             *out);
+size_t mu__limit_note__pack_to_buffer
+                     (const Mu__LimitNote   *message,
+                      ProtobufCBuffer     *buffer);
+Mu__LimitNote *
+       mu__limit_note__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mu__limit_note__free_unpacked
+                     (Mu__LimitNote *message,
+                      ProtobufCAllocator *allocator);
 /* Mu__Frame methods */
 void   mu__frame__init
                      (Mu__Frame         *message);
@@ -1395,6 +1579,15 @@
 typedef void (*Mu__Seed_Closure)
                  (const Mu__Seed *message,
                   void *closure_data);
+typedef void (*Mu__LimitAsk_Closure)
+                 (const Mu__LimitAsk *message,
+                  void *closure_data);
+typedef void (*Mu__LimitAnswer_Closure)
+                 (const Mu__LimitAnswer *message,
+                  void *closure_data);
+typedef void (*Mu__LimitNote_Closure)
+                 (const Mu__LimitNote *message,
+                  void *closure_data);
 typedef void (*Mu__Frame_Closure)
                  (const Mu__Frame *message,
                   void *closure_data);
@@ -1434,6 +1627,12 @@
 extern const ProtobufCMessageDescriptor mu__guaranteed__descriptor;
 extern const ProtobufCMessageDescriptor mu__seed_ask__descriptor;
 extern const ProtobufCMessageDescriptor mu__seed__descriptor;
+extern const ProtobufCMessageDescriptor mu__limit_ask__descriptor;
+extern const ProtobufCEnumDescriptor    mu__limit_ask__hop__descriptor;
+extern const ProtobufCEnumDescriptor    mu__limit_ask__kind__descriptor;
+extern const ProtobufCMessageDescriptor mu__limit_answer__descriptor;
+extern const ProtobufCEnumDescriptor    mu__limit_answer__status__descriptor;
+extern const ProtobufCMessageDescriptor mu__limit_note__descriptor;
 extern const ProtobufCMessageDescriptor mu__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/account.c
+++ b/src/account.c
@@ -441,6 +441,17 @@
 	return w != NULL ? w->tokens : 0;
 }
 
+bool
+mu_accounts_first_turn(struct mu_accounts *a, const char *program)
+{
+	struct program *p = find_program(a, program);
+	bool first = p != NULL && !p->seen;
+
+	if (p != NULL)
+		p->seen = true;
+	return first;
+}
+
 void
 mu_accounts_settle(
     struct mu_accounts *a, const char *program, const char *turn, uint64_t used)
--- a/src/account.h
+++ b/src/account.h
@@ -61,6 +61,9 @@
  * if the program's row was unavailable; 0: no reservation. */
 uint64_t mu_accounts_reserved(
     struct mu_accounts *a, const char *program, const char *turn);
+/* Whether no turn of the program has started at this daemon before; true only
+ * in the first call for a program. */
+bool mu_accounts_first_turn(struct mu_accounts *a, const char *program);
 /* Ends a reservation, or cancels a pending one. */
 void mu_accounts_settle(struct mu_accounts *a, const char *program,
     const char *turn, uint64_t used);
--- a/src/account_private.h
+++ b/src/account_private.h
@@ -59,6 +59,7 @@
 	struct mu_timer deadline_timer; /* earliest deadline of the waiters */
 	struct cds_list_head waiters; /* turns waiting for a reservation */
 	struct cds_list_head reservations; /* turns holding a reservation */
+	bool seen; /* mu_accounts_first_turn() was called */
 	bool started; /* at least one of its turns was answered */
 	struct cached_segment cached[MU_ACCOUNT_SEGMENTS];
 	unsigned next_cached;
--- a/src/attempt.c
+++ b/src/attempt.c
@@ -361,6 +361,7 @@
 
 	h.endpoint = c->target->info.name;
 	h.left_ms = (uint32_t)(left / MU_US_PER_MS);
+	h.customer = c->customer != NULL ? c->customer->name : NULL;
 	h.last_event = c->events > 0 ? c->last_event_id : c->req.last_event;
 	if (mu_buf_add(to, c->req.headers, strlen(c->req.headers)) != 0 ||
 	    c->s->adapter->write_request_headers(to, &h) != 0)
--- a/src/call.c
+++ b/src/call.c
@@ -67,11 +67,13 @@
 
 	mu_log(status >= 400 || status == 0 ? MU_LOG_WARN : MU_LOG_INFO, "call",
 	    "end",
-	    "{s:s,s:s?,s:s?,s:s?,s:i,s:s?,s:s?,s:I,s:I,s:I,s:I,s:I,s:i,s:i,s:I,"
-	    "s:I}",
+	    "{s:s,s:s?,s:s?,s:s?,s:s?,s:i,s:s?,s:s?,s:I,s:I,s:I,s:I,s:I,s:i,"
+	    "s:i,s:I,s:I}",
 	    "request", c->req.id, "program", c->req.program, "previous",
-	    c->req.previous, "route", c->route != NULL ? c->route->name : NULL,
-	    "status", status, "why", c->reason, "endpoint",
+	    c->req.previous, "customer",
+	    c->customer != NULL ? c->customer->name : NULL, "route",
+	    c->route != NULL ? c->route->name : NULL, "status", status, "why",
+	    c->reason, "endpoint",
 	    c->target != NULL ? c->target->info.name : c->last_endpoint, "ms",
 	    (json_int_t)((now - c->arrived) / MU_US_PER_MS), "wait_ms",
 	    (json_int_t)c->req.wait_ms, "program_ms",
@@ -95,8 +97,8 @@
 
 	if (!c->grant.held)
 		return;
-	t.program = c->req.program;
-	t.turn = c->req.id;
+	t.program = c->program_id;
+	t.turn = c->turn_id;
 	t.rec = rec;
 	if (c->service != NULL)
 		t.used = c->events * c->service->tokens_per_event;
@@ -109,7 +111,8 @@
 	mu_home_settle(c->s->home, &c->grant, &t);
 }
 
-/* Clears the deadline timer, leaves the queue and settles the reservation. */
+/* Clears the deadline timer, leaves the queue, settles the reservation and
+ * returns the token of a request that did not run. */
 static void
 release_resources(struct mu_call *c)
 {
@@ -120,6 +123,8 @@
 	}
 	c->state = ST_ANSWERED;
 	settle(c, NULL);
+	if (c->possible_runs == 0)
+		mu_call_return_token(c);
 }
 
 void
@@ -219,9 +224,9 @@
 	if (r == NULL)
 		abort();
 	mu__turn_record__init(r);
-	r->turn = strdup(c->req.id);
-	if (c->req.previous != NULL)
-		parent = mu_history_find(c->s->history, c->req.previous);
+	r->turn = strdup(c->turn_id);
+	if (c->previous_id != NULL)
+		parent = mu_history_find(c->s->history, c->previous_id);
 	if (parent != NULL) {
 		r->ancestors = calloc(parent->n_ancestors + 1, sizeof(char *));
 		if (r->ancestors == NULL)
@@ -242,8 +247,8 @@
 	return r;
 }
 
-static void
-call_unref(struct mu_call *c)
+void
+mu_call_unref(struct mu_call *c)
 {
 	if (--c->references > 0)
 		return;
@@ -283,7 +288,7 @@
 	if (k->rec != NULL)
 		mu__turn_record__free_unpacked(k->rec, NULL);
 	free(k);
-	call_unref(c);
+	mu_call_unref(c);
 }
 
 static void
@@ -336,6 +341,33 @@
 
 /* Routing, budget and history. */
 
+static void begin_turn(struct mu_call *c);
+
+/* The previous turn may have been served before customers were configured: it
+ * belongs to none and is stored under the caller's own id. */
+static bool
+continue_unowned_turn(struct mu_call *c)
+{
+	if (c->customer == NULL || c->previous_id == c->req.previous)
+		return false;
+	c->previous_id = c->req.previous;
+	begin_turn(c);
+	return true;
+}
+
+static void
+refuse_new_program(struct mu_call *c)
+{
+	if (!c->only_started) {
+		mu_call_end_with_error(c, 503, RETRY_AFTER_NEW_PROGRAM_MS,
+		    "no_place_for_new_programs");
+		return;
+	}
+	mu_count(MU_M_LIMITED, 1);
+	mu_call_end_with_error(
+	    c, 429, c->limit_retry_ms, "rate_limited_new_program");
+}
+
 static void
 on_turn_begun(void *arg, enum mu_turn_start_status st)
 {
@@ -343,14 +375,15 @@
 
 	if (c->closed || c->state != ST_PREPARING) {
 		settle(c, NULL); /* the call ended meanwhile: none used */
-		call_unref(c);
+		mu_call_unref(c);
 		return;
 	}
 	switch (st) {
 	case MU_START_OK:
-		if (c->req.previous != NULL &&
-		    (mu_history_text(
-			 c->s->history, c->req.previous, &c->body) != 0 ||
+		mu_call_turn_reserved(c);
+		if (c->previous_id != NULL &&
+		    (mu_history_text(c->s->history, c->previous_id, &c->body) !=
+			    0 ||
 			mu_buf_add(&c->body, c->req.body, c->req.len) != 0))
 			mu_call_end_with_error(c, 503, MU_CALL_RETRY_AFTER_MS,
 			    "history_unavailable");
@@ -361,18 +394,18 @@
 		mu_call_end_with_error(c, 402, 0, "budget_exhausted");
 		break;
 	case MU_START_NO_SUCH_TURN:
-		mu_call_end_with_error(c, 404, 0, "no_such_turn");
+		if (!continue_unowned_turn(c))
+			mu_call_end_with_error(c, 404, 0, "no_such_turn");
 		break;
 	case MU_START_NEW_PROGRAM:
-		mu_call_end_with_error(c, 503, RETRY_AFTER_NEW_PROGRAM_MS,
-		    "no_place_for_new_programs");
+		refuse_new_program(c);
 		break;
 	case MU_START_UNAVAILABLE:
 		mu_call_end_with_error(
 		    c, 503, RETRY_AFTER_OUTAGE_MS, "state_unavailable");
 		break;
 	}
-	call_unref(c);
+	mu_call_unref(c);
 }
 
 static void
@@ -381,17 +414,18 @@
 	struct mu_turn_start b = {0};
 
 	b.program =
-	    c->req.has_budget && c->req.program != NULL ? c->req.program : "";
+	    c->req.has_budget && c->program_id != NULL ? c->program_id : "";
 	b.budget = c->req.budget;
 	b.most = c->req.max_turn_tokens;
-	b.turn = c->req.id;
-	b.previous = c->req.previous;
+	b.turn = c->turn_id;
+	b.previous = c->previous_id;
 	b.keep = c->route->keep;
 	b.parts = c->req.parts;
 	b.nparts = c->req.nparts;
-	b.only_begun = c->req.previous == NULL &&
-		       !mu_choose_admit_program(
-			   mu_group_utilization(&c->s->targets, c->group));
+	b.only_begun = c->only_started ||
+		       (c->req.previous == NULL &&
+			   !mu_choose_admit_program(
+			       mu_group_utilization(&c->s->targets, c->group)));
 	b.deadline = c->arrived + TURN_START_TIMEOUT_US < c->deadline
 			 ? c->arrived + TURN_START_TIMEOUT_US
 			 : c->deadline;
@@ -447,7 +481,10 @@
 	c->deadline_timer.fn = on_deadline;
 	c->deadline_timer.arg = c;
 	mu_timer_set(c->s->loop, &c->deadline_timer, limit);
-	c->queue_rank.priority = c->route->priority;
+	c->queue_rank.priority =
+	    c->customer != NULL && c->customer->has_priority
+		? c->customer->priority
+		: c->route->priority;
 	c->queue_rank.arrived_at = now;
 	c->queue_rank.program_started = c->req.previous != NULL;
 	c->queue_rank.program_deadline =
@@ -462,10 +499,14 @@
 refuse_quarantined(struct mu_call *c)
 {
 	struct mu_quar_decision d;
-	char method_path[MU_NAME_LEN * 2];
+	char method_path[MU_NAME_LEN * 3];
 
-	(void)snprintf(method_path, sizeof(method_path), "%s %s", c->req.method,
-	    c->req.path);
+	if (c->customer != NULL)
+		(void)snprintf(method_path, sizeof(method_path), "%s %s %s",
+		    c->customer->name, c->req.method, c->req.path);
+	else
+		(void)snprintf(method_path, sizeof(method_path), "%s %s",
+		    c->req.method, c->req.path);
 	c->fingerprint = mu_quar_fingerprint(
 	    method_path, c->req.len > 0 ? c->req.body : "", c->req.len);
 	d = mu_quar_check(
@@ -478,6 +519,15 @@
 	return true;
 }
 
+void
+mu_call_admitted(struct mu_call *c)
+{
+	if (c->req.has_budget || c->previous_id != NULL)
+		begin_turn(c);
+	else
+		mu_call_dispatch(c);
+}
+
 void
 mu_call_start(
     struct mu_serve *s, struct mu_in_req *r, const struct mu_call_req *req)
@@ -500,17 +550,19 @@
 	mu_count(MU_M_HTTP, 1);
 	if (!find_route(c))
 		return;
-	set_deadline(c);
-	if (refuse_quarantined(c))
-		return;
 	if (c->route->kind != MU_ROUTE_STREAM)
 		c->req.has_budget = false;
 	if (!c->route->keeps_history)
 		c->req.previous = NULL;
-	if (c->req.has_budget || c->req.previous != NULL)
-		begin_turn(c);
+	if (!mu_call_identify(c))
+		return;
+	set_deadline(c);
+	if (refuse_quarantined(c))
+		return;
+	if (c->customer != NULL)
+		mu_call_take_token(c);
 	else
-		mu_call_dispatch(c);
+		mu_call_admitted(c);
 }
 
 void
@@ -529,5 +581,5 @@
 	}
 	c->closed = true;
 	c->s->calls--;
-	call_unref(c);
+	mu_call_unref(c);
 }
--- a/src/call.h
+++ b/src/call.h
@@ -12,6 +12,7 @@
 	const char *id;
 	const char *method;
 	const char *target; /* path and query, as sent */
+	const char *key; /* of a customer; NULL: none */
 	const char *host;
 	const char *path;
 	const char *headers; /* header lines forwarded to the endpoint */
--- a/src/call_private.h
+++ b/src/call_private.h
@@ -1,7 +1,8 @@
 /*
  * call_private.h -- the state of a call, shared by call.c (life cycle and final
- * answer), attempt.c (one exchange with an endpoint) and callplace.c (choice of
- * the endpoint and the queue for capacity).
+ * answer), callgate.c (the customer's key and rate limit), attempt.c (one
+ * exchange with an endpoint) and callplace.c (choice of the endpoint and the
+ * queue for capacity).
  */
 #ifndef MU_CALL_PRIVATE_H
 #define MU_CALL_PRIVATE_H
@@ -9,6 +10,7 @@
 #include "call.h"
 #include "sse.h"
 
+#define MU_CALL_ID_BYTES 190 /* ids go into store keys of at most 200 bytes */
 #define MU_CALL_MAX_ATTEMPTS 6 /* per request, over all endpoints */
 /* Runs allowed beyond the route's max_endpoints, where the request has run. */
 #define MU_CALL_EXTRA_RUNS 2
@@ -17,7 +19,7 @@
 #define MU_CALL_RETRY_AFTER_MS 200
 
 enum mu_call_state {
-	ST_PREPARING, /* budget and history, or about to be sent */
+	ST_PREPARING, /* rate limit, budget and history, or about to be sent */
 	ST_QUEUED, /* for capacity at an endpoint */
 	ST_SENT,
 	ST_COMMITTING, /* writing the turn's record */
@@ -34,6 +36,15 @@
 	const struct mu_route *route;
 	const struct mu_service *service;
 	struct mu_group *group;
+	/* Whose key the request carries, in routes; NULL: none. */
+	const struct mu_customer *customer;
+	bool holds_token; /* of the customer's rate limit */
+	bool only_started; /* the limit allows no new program */
+	uint32_t limit_retry_ms; /* when it does again */
+	/* Ids within the customer (scope.h); NULL as in req. */
+	const char *turn_id;
+	const char *program_id;
+	const char *previous_id;
 	struct mu_queue_rank queue_rank;
 	enum mu_call_state state;
 	bool closed; /* mu_call_closed() was called */
@@ -79,8 +90,27 @@
 	const char *reason; /* of the final answer, for the log */
 };
 
+/* callgate.c */
+
+/* Finds the request's customer and sets the scoped ids; false if the request
+ * was refused and the call must not be used afterwards. */
+bool mu_call_identify(struct mu_call *c);
+/* Whether the key is still that of the customer in the version in force. */
+bool mu_call_key_valid(const struct mu_call *c);
+/* Takes a token of the customer's rate limit, then continues with
+ * mu_call_admitted() or ends the call. */
+void mu_call_take_token(struct mu_call *c);
+/* Returns the token of a call that has not run. */
+void mu_call_return_token(struct mu_call *c);
+/* The budget of a turn has been reserved. */
+void mu_call_turn_reserved(struct mu_call *c);
+
 /* call.c.  Each ends the call or starts its next step, which may end it: c must
  * not be used afterwards. */
+/* Continues a call that its customer's rate limit admits. */
+void mu_call_admitted(struct mu_call *c);
+/* Releases a reference. */
+void mu_call_unref(struct mu_call *c);
 /* Ends the call with this status and error text. */
 void mu_call_end_with_error(
     struct mu_call *c, int status, uint32_t retry_after_ms, const char *reason);
--- a/src/callplace.c
+++ b/src/callplace.c
@@ -179,6 +179,16 @@
 	cds_list_add_tail(&c->node, &c->group->waiting);
 }
 
+/* The key was taken away while the request was queued or being prepared. */
+static void
+refuse_revoked(struct mu_call *c)
+{
+	if (c->possible_runs == 0)
+		mu_call_end_with_error(c, 401, 0, "key_revoked");
+	else
+		mu_call_end_with_error(c, 502, 0, "key_revoked");
+}
+
 /* Sends, queues or rejects the call; a call that is queued already stays so.
  * Returns true when it was sent or given up after its last try. */
 static bool
@@ -204,6 +214,10 @@
 			queued = false;
 			c->state = ST_PREPARING;
 		}
+		if (!mu_call_key_valid(c)) {
+			refuse_revoked(c);
+			return true;
+		}
 		if (mu_attempt_send(c, targets[choice.index]))
 			return true;
 		mu_call_exclude_endpoint(c, targets[choice.index]->info.name);
--- a/src/home.c
+++ b/src/home.c
@@ -216,6 +216,8 @@
 	g->grant->remote = false;
 	g->grant->tokens =
 	    mu_accounts_reserved(g->home->accounts, g->program, g->turn);
+	g->grant->first_turn =
+	    mu_accounts_first_turn(g->home->accounts, g->program);
 	g->grant->incarnation = g->home->conf.incarnation;
 	fetch_history(g);
 }
@@ -283,6 +285,7 @@
 		    f->granted->endpoint);
 		g->grant->cached.held = f->granted->held;
 		g->grant->tokens = f->granted->tokens;
+		g->grant->first_turn = f->granted->first_turn;
 		keep_history(g, &f->granted->history);
 		fetch_history(g);
 		break;
@@ -444,6 +447,8 @@
 	g.endpoint = q->cached.endpoint;
 	g.held = q->cached.held;
 	g.tokens = mu_accounts_reserved(q->home->accounts, q->program, q->turn);
+	g.first_turn = st == MU_START_OK &&
+		       mu_accounts_first_turn(q->home->accounts, q->program);
 	if (st == MU_START_OK && q->need_history &&
 	    mu_history_chain_cached(q->home->history, q->previous))
 		pack_history(q->home, q->previous, &g.history);
--- a/src/home.h
+++ b/src/home.h
@@ -36,6 +36,7 @@
 	bool remote; /* reserved at the home, not at this daemon */
 	char host[MU_NAME_LEN]; /* of the home */
 	uint64_t incarnation; /* of the daemon that reserved */
+	bool first_turn; /* of the program, as far as its home knows */
 	uint64_t tokens; /* reserved, the turn must not use more; 0: not
 			    reported, as by a home of an older release */
 	struct mu_cache_location cached; /* of the start of the prompt */
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -116,8 +116,8 @@
 		? (json_int_t)((mu_loop_now(m->loop) - p->last_heartbeat_at) /
 			       MU_US_PER_MS)
 		: -1);
-	if (m->hooks.on_up_changed != NULL)
-		m->hooks.on_up_changed(m->hooks.arg, p);
+	if (m->hooks.on_changed != NULL)
+		m->hooks.on_changed(m->hooks.arg, p);
 }
 
 static void
@@ -203,6 +203,7 @@
 {
 	struct mu_peer *p = mu_mesh_find_peer(m, f->beat->host);
 	Mu__Beat *before;
+	bool began_to_leave;
 
 	if (p == NULL)
 		return;
@@ -210,18 +211,21 @@
 	p->beat = f->beat;
 	f->body_case = MU__FRAME__BODY__NOT_SET;
 	p->incarnation = p->beat->incarnation;
-	p->last_heartbeat_at = mu_loop_now(m->loop);
+	p->last_heartbeat_at = p->last_seen_at = mu_loop_now(m->loop);
 	if (!p->has_inbound_link) {
 		p->has_inbound_link = true;
 		p->keep_link = true;
 		p->dial_at = 0;
 	}
+	began_to_leave = p->beat->leaving && !p->leaving;
 	p->leaving = p->beat->leaving;
 	p->ready = p->beat->ready;
 	p->store_ok = p->beat->store_ok;
 	update_peer_up(m, p);
 	if (m->hooks.on_heartbeat != NULL)
 		m->hooks.on_heartbeat(m->hooks.arg, p, before);
+	if (began_to_leave && m->hooks.on_changed != NULL)
+		m->hooks.on_changed(m->hooks.arg, p);
 	if (before != NULL)
 		mu__beat__free_unpacked(before, NULL);
 }
@@ -245,6 +249,11 @@
 	case MU__FRAME__BODY_GUARANTEED:
 		complete_request(l, f->guaranteed->id, f);
 		break;
+	case MU__FRAME__BODY_LIMIT_ANSWER:
+		complete_request(l, f->limit_answer->id, f);
+		break;
+	case MU__FRAME__BODY_LIMIT_ASK:
+	case MU__FRAME__BODY_LIMIT_NOTE:
 	case MU__FRAME__BODY_BEGIN:
 	case MU__FRAME__BODY_SETTLE:
 	case MU__FRAME__BODY_RELAY:
@@ -618,6 +627,9 @@
 	case MU__FRAME__BODY_GUARANTEE:
 		f->guarantee->id = id;
 		break;
+	case MU__FRAME__BODY_LIMIT_ASK:
+		f->limit_ask->id = id;
+		break;
 	default:
 		break;
 	}
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -26,6 +26,7 @@
 	uint64_t weight; /* orders a domain's peers for choosing links */
 	uint64_t incarnation;
 	mu_us last_heartbeat_at; /* 0: none since the link was closed */
+	mu_us last_seen_at; /* last heartbeat of all; 0: none */
 	bool connected; /* link is established */
 	bool up;
 	bool leaving;
@@ -55,11 +56,12 @@
 	 * before is the previous one, or NULL. */
 	void (*on_heartbeat)(
 	    void *arg, struct mu_peer *p, const Mu__Beat *before);
-	void (*on_up_changed)(void *arg, struct mu_peer *p); /* may be NULL */
+	/* May be NULL.  A peer went up or down, or began to leave. */
+	void (*on_changed)(void *arg, struct mu_peer *p);
 	/* May be NULL.  Called for every heartbeat, also of unknown daemons. */
 	void (*on_any_heartbeat)(
 	    void *arg, struct mu_mesh_link *from, const Mu__Beat *b);
-	/* Called for BEGIN, SETTLE, RELAY, GUARANTEE, SEED_ASK and SEED. */
+	/* Called for every frame that is neither a heartbeat nor a reply. */
 	void (*on_request)(
 	    void *arg, struct mu_mesh_link *from, const Mu__Frame *f);
 };
@@ -86,7 +88,8 @@
 /* Dials a peer if there is no link to it, and keeps the link from now on. */
 void mu_mesh_ensure_link(struct mu_mesh *m, struct mu_peer *p);
 /*
- * Sends a BEGIN, RELAY or GUARANTEE, whose id is set here; fn gets the reply.
+ * Sends a BEGIN, RELAY, GUARANTEE or LIMIT_ASK, whose id is set here; fn gets
+ * the reply.
  * False when there is no link or its queue is full; fn is not called then.  fn
  * is never called from within this function.
  */
--- a/src/metric.h
+++ b/src/metric.h
@@ -46,7 +46,12 @@
 	X(HISTORY_READS, "history_reads_total", "turns read from the store") \
 	X(CONNECTIONS, "endpoint_connections_total", \
 	    "connections opened to endpoints") \
-	X(OVERDUE, "answers_overdue_total", "answers overdue by far")
+	X(OVERDUE, "answers_overdue_total", "answers overdue by far") \
+	X(KEYS_REFUSED, "keys_refused_total", "requests without a valid key") \
+	X(LIMITED, "limited_total", "requests over their customer's limit") \
+	X(LIMIT_ASKS, "limit_asks_total", "rate limit requests to daemons") \
+	X(LIMIT_UNANSWERED, "limit_unanswered_total", \
+	    "rate limit requests without an answer")
 
 enum mu_counter {
 #define X(sym, name, help) MU_M_##sym,
--- a/src/routes.c
+++ b/src/routes.c
@@ -40,6 +40,7 @@
 		free(r->service[i].name);
 	free(r->route);
 	free(r->service);
+	mu_customers_free(r->customers);
 	free(r);
 }
 
--- a/src/routes.h
+++ b/src/routes.h
@@ -7,7 +7,7 @@
 #ifndef MU_ROUTES_H
 #define MU_ROUTES_H
 
-#include "musher.h"
+#include "customer.h"
 
 enum mu_route_kind {
 	MU_ROUTE_IDEMPOTENT, /* may run more than once */
@@ -32,6 +32,7 @@
 	uint32_t max_endpoints; /* that may run the same request */
 	bool resumable; /* a stream may be resumed at another endpoint */
 	bool keeps_history;
+	bool is_public; /* served without a key */
 	mu_us keep; /* retention time of turns */
 	struct mu_route_share *shares;
 	size_t nshares;
@@ -50,6 +51,7 @@
 	size_t nroutes;
 	struct mu_service *service;
 	size_t nservices;
+	struct mu_customers *customers; /* NULL: callers need no key */
 };
 
 struct mu_routes *mu_routes_ref(struct mu_routes *r);
--- a/src/serve.c
+++ b/src/serve.c
@@ -57,25 +57,28 @@
 on_config_row(void *arg, const Mu__StoreRow *row)
 {
 	struct mu_serve *s = arg;
+	struct mu_error e = {.type = MU_E_CONFIG_INVALID};
 	struct mu_routes *r;
 
 	if (strcmp(row->key, s->adapter->config_key) != 0 || row->removed)
 		return;
 	mu_seed_update(s->seed, row);
-	r = s->adapter->read_routes(row);
+	r = s->adapter->read_routes(row, &e);
 	if (r == NULL) {
-		mu_log(MU_LOG_ERROR, "serve", "config_unreadable", "{s:I}",
-		    "ver", (json_int_t)row->ver);
+		mu_log(MU_LOG_ERROR, "serve", "config_unreadable",
+		    "{s:I,s:s,s:s}", "ver", (json_int_t)row->ver, "error",
+		    mu_errname(e.type), "message", e.message);
 		return;
 	}
 	if (s->routes != NULL && r->version <= s->routes->version) {
 		mu_routes_unref(r);
 		return;
 	}
-	mu_log(MU_LOG_INFO, "serve", "config_in_force", "{s:I,s:I,s:i,s:i}",
+	mu_log(MU_LOG_INFO, "serve", "config_in_force", "{s:I,s:I,s:i,s:i,s:i}",
 	    "version", (json_int_t)r->version, "before",
 	    s->routes != NULL ? (json_int_t)s->routes->version : 0, "routes",
-	    (int)r->nroutes, "services", (int)r->nservices);
+	    (int)r->nroutes, "services", (int)r->nservices, "customers",
+	    r->customers != NULL ? (int)mu_customers_count(r->customers) : -1);
 	mu_count(MU_M_CONFIGS, 1);
 	mu_routes_unref(s->routes);
 	s->routes = r;
@@ -183,6 +186,7 @@
 {
 	struct mu_serve *s = arg;
 
+	mu_limiter_peers_known(s->limiter);
 	mu_bootstrap_on_list_end(s->bootstrap);
 }
 
@@ -256,6 +260,7 @@
 	b->leaving = s->leaving;
 	b->ready = mu_serve_ready(s);
 	b->store_ok = mu_store_direct_available(s->store);
+	b->config_version = s->routes != NULL ? s->routes->version : 0;
 	fill_endpoint_uses(s, b);
 	fill_quarantine(s, b);
 }
@@ -292,9 +297,12 @@
 static void
 on_peer_changed(void *arg, struct mu_peer *p)
 {
+	struct mu_serve *s = arg;
+
+	mu_limiter_peers_changed(s->limiter);
 	if (p->up || p->beat == NULL)
 		return;
-	apply_peer_uses(arg, p->beat, false);
+	apply_peer_uses(s, p->beat, false);
 	mu__beat__free_unpacked(p->beat, NULL);
 	p->beat = NULL;
 }
@@ -499,6 +507,7 @@
 		return;
 	n = mu_seed_for_each(seed, apply_seed_row, s);
 	s->endpoints_loaded = s->routes != NULL;
+	mu_limiter_peers_known(s->limiter);
 	mu_log(MU_LOG_INFO, "serve", "seeded", "{s:i,s:I,s:b}", "rows", (int)n,
 	    "age_ms", (json_int_t)seed->age_ms, "ready", mu_serve_ready(s));
 }
@@ -521,6 +530,12 @@
 	case MU__FRAME__BODY_GUARANTEE:
 		mu_loans_on_request(s->loans, from, f->guarantee);
 		break;
+	case MU__FRAME__BODY_LIMIT_ASK:
+		mu_limiter_on_ask(s->limiter, from, f->limit_ask);
+		break;
+	case MU__FRAME__BODY_LIMIT_NOTE:
+		mu_limiter_on_note(s->limiter, f->limit_note);
+		break;
 	case MU__FRAME__BODY_SEED_ASK:
 		send_seed(s, from, f->seed_ask);
 		break;
@@ -599,6 +614,18 @@
 	    s->loop, &s->stats_timer, mu_loop_now(s->loop) + STATS_INTERVAL_US);
 }
 
+/* Customers. */
+
+static const struct mu_customer *
+find_customer(void *arg, const char *name)
+{
+	const struct mu_serve *s = arg;
+
+	return s->routes != NULL && s->routes->customers != NULL
+		   ? mu_customers_by_name(s->routes->customers, name)
+		   : NULL;
+}
+
 /* Opening and closing. */
 
 static bool
@@ -620,6 +647,12 @@
 	       s->follow_daemons != NULL;
 }
 
+mu_us
+mu_serve_config_age(const struct mu_serve *s)
+{
+	return mu_follow_age(s->follow_config);
+}
+
 bool
 mu_serve_may_accept(const struct mu_serve *s)
 {
@@ -639,6 +672,9 @@
 	struct mu_home_conf hc = {
 	    s->conf.host, s->conf.domain, s->conf.incarnation, NULL};
 	struct mu_store_relay relay = {s, relay_available, run_via_peer};
+	struct mu_limiter_conf lc = {s->conf.host, s->conf.domain,
+	    s->conf.incarnation, s->conf.limit_window_ms, s->conf.limit_overage,
+	    s->conf.limit_slack, s, find_customer};
 	struct mu_bootstrap_conf fc = {DAEMON_TABLE, s->conf.host,
 	    s->conf.incarnation, s, on_bootstrap_decided};
 	int rc;
@@ -660,12 +696,14 @@
 	s->history =
 	    mu_history_new(l, s->store, s->reaper, HISTORY_CACHE_BYTES);
 	s->loans = hc.loans = mu_loans_new(l, s->mesh, s->conf.host);
+	s->limiter = mu_limiter_new(l, s->mesh, &lc);
 	s->home = mu_home_new(l, s->store, s->reaper, s->mesh, s->history, &hc);
 	s->bootstrap = mu_bootstrap_new(l, s->store, &fc);
 	s->announce_timer.fn = announce;
 	s->announce_timer.arg = s;
 	if (s->reaper == NULL || s->history == NULL || s->loans == NULL ||
-	    s->home == NULL || s->bootstrap == NULL || !open_follows(s))
+	    s->limiter == NULL || s->home == NULL || s->bootstrap == NULL ||
+	    !open_follows(s))
 		goto nomem;
 	s->stats_timer.fn = on_stats;
 	s->stats_timer.arg = s;
@@ -680,6 +718,7 @@
 {
 	s->leaving = true;
 	mu_mesh_send_heartbeat(s->mesh);
+	mu_limiter_drain(s->limiter);
 	mu_home_drain(s->home);
 }
 
@@ -698,6 +737,7 @@
 	mu_timer_clear(s->loop, &s->stats_timer);
 	mu_home_free(s->home);
 	mu_loans_free(s->loans);
+	mu_limiter_free(s->limiter);
 	mu_history_free(s->history);
 	mu_reaper_free(s->reaper);
 	mu_targets_clear(&s->targets);
--- a/src/serve.h
+++ b/src/serve.h
@@ -8,6 +8,7 @@
 #include "follow.h"
 #include "bootstrap.h"
 #include "inbound.h"
+#include "limiter.h"
 #include "quarantine.h"
 #include "targets.h"
 
@@ -26,6 +27,7 @@
 struct mu_request_head {
 	const char *endpoint; /* instance that is to execute it */
 	uint32_t left_ms; /* until the caller's deadline */
+	const char *customer; /* whose key the request carries; NULL: none */
 	const char *last_event; /* to resume after; NULL: from the start */
 };
 
@@ -41,8 +43,9 @@
 	const char *config_table;
 	const char *config_key;
 	const char *endpoint_table;
-	/* Returns a new routing table, or NULL if the row is invalid. */
-	struct mu_routes *(*read_routes)(const Mu__StoreRow *row);
+	/* Returns a new routing table, or NULL and an error. */
+	struct mu_routes *(*read_routes)(
+	    const Mu__StoreRow *row, struct mu_error *e);
 	/* Returns false if the row describes no usable endpoint. */
 	bool (*read_endpoint)(
 	    const Mu__StoreRow *row, struct mu_target_info *out);
@@ -54,6 +57,15 @@
 	uint64_t incarnation;
 	const char *caller_addr;
 	const char *mesh_addr;
+	/* Older, a configuration does not tell that a key is unknown. */
+	uint32_t config_fresh_ms;
+	/* Older, a configuration does not tell that a key is still valid; 0: it
+	 * always does. */
+	uint32_t key_trust_ms;
+	/* Accepted beyond rate limits (limiter.h). */
+	uint32_t limit_window_ms;
+	double limit_overage;
+	double limit_slack;
 };
 
 struct mu_serve {
@@ -65,6 +77,7 @@
 	struct mu_reaper *reaper;
 	struct mu_history *history;
 	struct mu_loans *loans;
+	struct mu_limiter *limiter;
 	struct mu_home *home;
 	struct mu_bootstrap *bootstrap;
 	struct mu_seed *seed;
@@ -101,6 +114,10 @@
  */
 bool mu_serve_may_accept(const struct mu_serve *s);
 
+/* Time since the configuration in force was last confirmed by the store;
+ * MU_US_NEVER: not yet. */
+mu_us mu_serve_config_age(const struct mu_serve *s);
+
 /* Whether configuration and endpoints are known. */
 static inline bool
 mu_serve_state_loaded(const struct mu_serve *s)
--- a/src/serveconf.c
+++ b/src/serveconf.c
@@ -19,6 +19,12 @@
 #define DEFAULT_STOP_MS 8000
 #define DEFAULT_ADDRESS_TTL_MS 1000
 #define DEFAULT_LOG_LEVEL "info"
+#define DEFAULT_CONFIG_FRESH_MS 3000
+#define DEFAULT_KEY_TRUST_MS 0
+#define DEFAULT_LIMIT_WINDOW_MS 5000
+#define DEFAULT_LIMIT_OVERAGE 0
+#define DEFAULT_LIMIT_SLACK 0
+#define LIMIT_OVERAGE_MAX 10.0
 
 /* X(field, flag, expected value, default) */
 #define NAMES(X) \
@@ -35,15 +41,24 @@
 #define OTHERS(X) \
 	X(log_level, CYAML_FLAG_OPTIONAL, "debug, info, warn or error", \
 	    DEFAULT_LOG_LEVEL)
+/* X(field, default): decimal fractions, 0 to LIMIT_OVERAGE_MAX */
+#define FRACTIONS(X) X(limit_overage, DEFAULT_LIMIT_OVERAGE)
 /* X(field, default, minimum, maximum) */
 #define NUMBERS(X) \
 	X(stop_ms, DEFAULT_STOP_MS, 100, 600000) \
-	X(address_ttl_ms, DEFAULT_ADDRESS_TTL_MS, 100, 3600000)
+	X(address_ttl_ms, DEFAULT_ADDRESS_TTL_MS, 100, 3600000) \
+	X(config_fresh_ms, DEFAULT_CONFIG_FRESH_MS, 1, 3600000) \
+	X(key_trust_ms, DEFAULT_KEY_TRUST_MS, 0, 3600000) \
+	X(limit_window_ms, DEFAULT_LIMIT_WINDOW_MS, 100, 3600000) \
+	X(limit_slack, DEFAULT_LIMIT_SLACK, 0, 1000000)
 
 struct raw {
 #define X(f, def, lo, hi) uint64_t *f;
 	NUMBERS(X)
 #undef X
+#define X(f, def) double *f;
+	FRACTIONS(X)
+#undef X
 #define X(f, flag, expected, def) char *f;
 	NAMES(X)
 	ADDRS(X)
@@ -57,12 +72,17 @@
 	    #f, CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw, f),
     NUMBERS(X)
 #undef X
+#define X(f, def) \
+	CYAML_FIELD_FLOAT_PTR( \
+	    #f, CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw, f),
+	FRACTIONS(X)
+#undef X
 #define X(f, flag, expected, def) \
 	CYAML_FIELD_STRING_PTR( \
 	    #f, CYAML_FLAG_POINTER | (flag), struct raw, f, 1, STRING_MAX),
-	NAMES(X) ADDRS(X) OTHERS(X)
+	    NAMES(X) ADDRS(X) OTHERS(X)
 #undef X
-	    CYAML_FIELD_END};
+		CYAML_FIELD_END};
 
 static const cyaml_schema_value_t raw_schema = {
     CYAML_VALUE_MAPPING(CYAML_FLAG_POINTER, struct raw, raw_fields)};
@@ -77,7 +97,10 @@
 #define X(f, def, lo, hi) {#f, "an integer " #lo " to " #hi, STR(def)},
 	NUMBERS(X)
 #undef X
-	    {NULL, NULL, NULL}};
+#define X(f, def) {#f, "a number 0 to " STR(LIMIT_OVERAGE_MAX), STR(def)},
+	    FRACTIONS(X)
+#undef X
+		{NULL, NULL, NULL}};
 
 static int
 check(const struct mu_serveconf *c, struct mu_error *e)
@@ -97,6 +120,18 @@
 	return rc;
 }
 
+/* Reads an optional fraction. */
+static int
+read_fraction(const char *field, const double *raw, double def, double *to,
+    struct mu_error *e)
+{
+	*to = raw != NULL ? *raw : def;
+	if (*to >= 0 && *to <= LIMIT_OVERAGE_MAX)
+		return 0;
+	return mu_fail(e, MU_E_CONFIG_INVALID, MU_OUTCOME_NOT_RUN, 0,
+	    "%s: expected a number 0 to " STR(LIMIT_OVERAGE_MAX), field);
+}
+
 static int
 convert_raw(struct raw *r, struct mu_serveconf *c, struct mu_error *e)
 {
@@ -115,6 +150,11 @@
 	if (rc == 0) \
 		rc = mu_yaml_number(#f, r->f, def, lo, hi, &c->f, e);
 	NUMBERS(X)
+#undef X
+#define X(f, def) \
+	if (rc == 0) \
+		rc = read_fraction(#f, r->f, def, &c->f, e);
+	FRACTIONS(X)
 #undef X
 	return rc;
 }
--- a/src/serveconf.h
+++ b/src/serveconf.h
@@ -18,6 +18,15 @@
 	char *store_addr; /* IP:PORT of the table store */
 	uint32_t stop_ms; /* time from the stop signal to the kill */
 	uint32_t address_ttl_ms; /* callers may cache an address so long */
+	/* Age up to which a configuration tells that a key is unknown. */
+	uint32_t config_fresh_ms;
+	/* Age up to which it tells that a key is valid; 0: no limit. */
+	uint32_t key_trust_ms;
+	/* Accepted beyond a customer's rate limit in any span of
+	 * limit_window_ms: this fraction of it, and limit_slack requests. */
+	uint32_t limit_window_ms;
+	uint32_t limit_slack;
+	double limit_overage;
 	char *log_level; /* debug, info, warn or error */
 };
 
--- a/test/test_adapter.c
+++ b/test/test_adapter.c
@@ -74,6 +74,7 @@
 	char text[sizeof(VALID_ENDPOINT)];
 	struct mu_target_info t;
 	struct mu_routes *routes;
+	struct mu_error e = {0};
 	Mu__StoreRow r;
 	size_t i;
 
@@ -84,7 +85,7 @@
 		r = make_row("i-1", text);
 		if (i < sizeof(VALID_ENDPOINT) - 1)
 			assert_false(pf_read_endpoint(&r, &t));
-		routes = pf_read_routes(&r);
+		routes = pf_read_routes(&r, &e);
 		assert_null(routes);
 	}
 }
@@ -105,7 +106,8 @@
 	    "{\"name\":\"x\",\"engine\":{\"chunk_tokens\":17,\"slots\":8}}],"
 	    "\"limits\":{\"idle_timeout_ms\":9000}}";
 	Mu__StoreRow r = make_row("config", text);
-	struct mu_routes *t = pf_read_routes(&r);
+	struct mu_error e = {0};
+	struct mu_routes *t = pf_read_routes(&r, &e);
 	unsigned i, y = 0;
 
 	(void)state;
@@ -136,9 +138,68 @@
 	    "{\"version\":7,\"routes\":[{\"name\":\"a\",\"host\":\"h\","
 	    "\"path_prefix\":\"/a/\",\"type\":\"maybe\",\"service\":\"s\"}],"
 	    "\"services\":[]}");
+	struct mu_error e = {0};
 
 	(void)state;
-	assert_null(pf_read_routes(&r));
+	assert_null(pf_read_routes(&r, &e));
+}
+
+#define WITH_CUSTOMERS(list) \
+	"{\"version\":7,\"routes\":[],\"services\":[],\"tenants\":" list "}"
+
+static void
+test_customers(void **state)
+{
+	Mu__StoreRow r = make_row("config",
+	    WITH_CUSTOMERS("[{\"name\":\"a\",\"api_keys\":[\"k1\",\"k2\"],"
+			   "\"priority\":1,\"rate_per_s\":44.5,"
+			   "\"burst\":9},{\"name\":\"b\"}]"));
+	struct mu_error e = {0};
+	struct mu_routes *t = pf_read_routes(&r, &e);
+	const struct mu_customer *c;
+
+	(void)state;
+	assert_non_null(t);
+	c = mu_customers_by_key(t->customers, "k2");
+	assert_string_equal(c->name, "a");
+	assert_true(c->has_priority);
+	assert_int_equal(c->priority, 1);
+	assert_true(c->rate == 44.5 && c->burst == 9);
+	c = mu_customers_by_name(t->customers, "b");
+	assert_false(c->has_priority);
+	assert_true(c->rate == 0);
+	mu_routes_unref(t);
+}
+
+/* An invalid list rejects the whole configuration, with a typed error that
+ * shows no key. */
+static void
+test_invalid_customers(void **state)
+{
+	static const char *const bad[] = {WITH_CUSTOMERS("7"),
+	    WITH_CUSTOMERS("[7]"), WITH_CUSTOMERS("[{\"api_keys\":[]}]"),
+	    WITH_CUSTOMERS("[{\"name\":\"a\"},{\"name\":\"a\"}]"),
+	    WITH_CUSTOMERS("[{\"name\":\"a\",\"api_keys\":\"secret\"}]"),
+	    WITH_CUSTOMERS("[{\"name\":\"a\",\"api_keys\":[7]}]"),
+	    WITH_CUSTOMERS("[{\"name\":\"a\",\"api_keys\":[\"\"]}]"),
+	    WITH_CUSTOMERS("[{\"name\":\"a\",\"api_keys\":[\"secret\"]},"
+			   "{\"name\":\"b\",\"api_keys\":[\"secret\"]}]"),
+	    WITH_CUSTOMERS("[{\"name\":\"a\",\"rate_per_s\":-1}]"),
+	    WITH_CUSTOMERS("[{\"name\":\"a\",\"burst\":\"9\"}]"),
+	    WITH_CUSTOMERS("[{\"name\":\"a\",\"priority\":-1}]"),
+	    WITH_CUSTOMERS("[{\"name\":\"a b\"}]")};
+	struct mu_error e;
+	Mu__StoreRow r;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+		r = make_row("config", bad[i]);
+		e = (struct mu_error){0};
+		assert_null(pf_read_routes(&r, &e));
+		assert_int_equal(e.type, MU_E_CONFIG_INVALID);
+		assert_null(strstr(e.message, "secret"));
+	}
 }
 
 static void
@@ -168,7 +229,7 @@
 static void
 test_send_headers(void **state)
 {
-	struct mu_request_head h = {"i-1", 900, NULL};
+	struct mu_request_head h = {"i-1", 900, NULL, NULL};
 	struct mu_buf b = {0};
 
 	(void)state;
@@ -179,6 +240,10 @@
 	h.last_event = "4";
 	assert_int_equal(pf_adapter.write_request_headers(&b, &h), 0);
 	assert_non_null(strstr(mu_buf_data(&b), "Last-Event-Id: 4\r\n"));
+	mu_buf_consume(&b, mu_buf_len(&b));
+	h.customer = "c1";
+	assert_int_equal(pf_adapter.write_request_headers(&b, &h), 0);
+	assert_non_null(strstr(mu_buf_data(&b), "Tenant: c1\r\n"));
 	mu_buf_clear(&b);
 }
 
@@ -191,6 +256,8 @@
 	    cmocka_unit_test(test_torn_rows),
 	    cmocka_unit_test(test_routes),
 	    cmocka_unit_test(test_unknown_kind_is_refused_whole),
+	    cmocka_unit_test(test_customers),
+	    cmocka_unit_test(test_invalid_customers),
 	    cmocka_unit_test(test_answer_headers),
 	    cmocka_unit_test(test_send_headers),
 	};
--- a/test/test_call.c
+++ b/test/test_call.c
@@ -42,6 +42,29 @@
     "\"services\":[{\"name\":\"llm\",\"engine\":{\"chunk_tokens\":17}},"
     "{\"name\":\"app\"}],\"limits\":{\"idle_timeout_ms\":15000}}";
 
+/* Routes for customers c1 and c4, c2, whose rate is limited, and c3, who has no
+ * key. */
+#define CUSTOMERS(version, c1_keys) \
+	"{\"version\":" version ",\"routes\":[" \
+	"{\"name\":\"chat\",\"host\":\"h\",\"path_prefix\":\"/chat/\"," \
+	"\"type\":\"streaming\",\"timeout_ms\":1500,\"service\":\"llm\"," \
+	"\"keeps_history\":true,\"retention_s\":60}," \
+	"{\"name\":\"look\",\"host\":\"h\",\"path_prefix\":\"/look/\"," \
+	"\"type\":\"safe\",\"timeout_ms\":1500,\"service\":\"app\"," \
+	"\"max_attempts\":3}," \
+	"{\"name\":\"open\",\"host\":\"h\",\"path_prefix\":\"/open/\"," \
+	"\"type\":\"safe\",\"timeout_ms\":1500,\"service\":\"app\"," \
+	"\"public\":true}," \
+	"{\"name\":\"order\",\"host\":\"h\",\"path_prefix\":\"/order/\"," \
+	"\"type\":\"unsafe\",\"timeout_ms\":600,\"service\":\"app\"}]," \
+	"\"services\":[{\"name\":\"llm\",\"engine\":{\"chunk_tokens\":17}}," \
+	"{\"name\":\"app\"}],\"tenants\":[" \
+	"{\"name\":\"c1\",\"api_keys\":[" c1_keys "]}," \
+	"{\"name\":\"c2\",\"api_keys\":[\"k2\"],\"rate_per_s\":0.4," \
+	"\"burst\":2}," \
+	"{\"name\":\"c3\"}," \
+	"{\"name\":\"c4\",\"api_keys\":[\"k4\"]}]}"
+
 struct fixture {
 	struct mu_clock clock;
 	struct mu_loop *loop;
@@ -82,6 +105,8 @@
 	f->serve.conf.incarnation = 77;
 	f->serve.conf.caller_addr = f->addr;
 	f->serve.conf.mesh_addr = f->mesh;
+	f->serve.conf.config_fresh_ms = 5000;
+	f->serve.conf.limit_window_ms = 5000;
 	assert_int_equal(mu_serve_open(&f->serve, f->loop, &b, &e), 0);
 	c.listen = f->addr;
 	c.max_body = 1 << 20;
@@ -886,6 +911,183 @@
 	(void)close(saved);
 }
 
+/* Puts a configuration in force. */
+static void
+configure(struct fixture *f, const char *text, uint64_t version)
+{
+	f->mem->ver++;
+	mem_put(f->mem, "op", "", "config", text, strlen(text));
+	assert_true(kit_until(f->loop, 3000,
+	    f->serve.routes != NULL && f->serve.routes->version == version));
+}
+
+#define KEYED(path, id, key) \
+	"GET " path " HTTP/1.1\r\nHost: h\r\nRequest-Id: " id \
+	"\r\nDeadline-Ms: 1200\r\nTenant: root\r\nX-Api-Key: " key "\r\n\r\n"
+
+/* The endpoint gets the customer's name, whatever the caller claims, and never
+ * the key. */
+static void
+test_customer_is_named_to_the_endpoint(void **state)
+{
+	static const struct kit_step s[] = {{PLAIN, false, false}};
+	struct fixture *f = *state;
+	struct kit_endpoint *e = add_endpoint(f, "app", s, 1);
+
+	wait_until_ready(f);
+	configure(f, CUSTOMERS("4", "\"k1\",\"k1b\""), 4);
+	expect(f, KEYED("/look/a", "r1", "k1b"), 2000, "done");
+	assert_non_null(strstr(e->last, "\r\nTenant: c1\r\n"));
+	assert_null(strstr(e->last, "root"));
+	assert_null(strcasestr(e->last, "X-Api-Key"));
+	expect(f, KEYED("/open/a", "r2", "k1"), 2000, "done");
+	assert_null(strcasestr(e->last, "Tenant"));
+	assert_null(strcasestr(e->last, "X-Api-Key"));
+}
+
+static void
+test_requests_without_a_valid_key(void **state)
+{
+	static const struct kit_step s[] = {{PLAIN, false, false}};
+	struct fixture *f = *state;
+	struct kit_endpoint *e = add_endpoint(f, "app", s, 1);
+
+	wait_until_ready(f);
+	configure(f, CUSTOMERS("4", "\"k1\""), 4);
+	expect(f, GET("/look/a", "r1"), 2000, "HTTP/1.1 401");
+	expect(f, KEYED("/look/a", "r2", "k3"), 2000, "HTTP/1.1 401");
+	expect(f, KEYED("/look/a", "r3", ""), 2000, "HTTP/1.1 401");
+	expect(f, KEYED("/look/a", "r4", "k1\r\nX-Api-Key: k2"), 2000,
+	    "HTTP/1.1 400");
+	assert_int_equal(e->requests, 0);
+	expect(f, GET("/open/a", "r5"), 2000, "done");
+	configure(f, CUSTOMERS("5", "\"k3\""), 5);
+	expect(f, KEYED("/look/a", "r6", "k1"), 2000, "HTTP/1.1 401");
+	expect(f, KEYED("/look/a", "r7", "k3"), 2000, "done");
+}
+
+/* A daemon that has not heard from the store does not tell that a key is
+ * unknown; it serves those that it knows for as long as it is told to. */
+static void
+test_old_configuration_judges_no_unknown_key(void **state)
+{
+	static const struct kit_step s[] = {{PLAIN, false, false}};
+	struct fixture *f = *state;
+
+	(void)add_endpoint(f, "app", s, 1);
+	wait_until_ready(f);
+	configure(f, CUSTOMERS("4", "\"k1\""), 4);
+	f->mem->fault = MEM_BUSY;
+	f->serve.conf.config_fresh_ms = 300;
+	kit_run_ms(f->loop, 400);
+	expect(f, KEYED("/look/a", "r1", "k9"), 2000, "HTTP/1.1 503");
+	expect(f, KEYED("/look/a", "r2", "k1"), 2000, "done");
+	f->serve.conf.key_trust_ms = 300;
+	expect(f, KEYED("/look/a", "r3", "k1"), 2000, "HTTP/1.1 503");
+}
+
+/* A key that is taken away while its request is queued. */
+static void
+test_queued_request_is_judged_again(void **state)
+{
+	static const struct kit_step s[] = {{NULL, false, false}};
+	struct fixture *f = *state;
+	struct kit_endpoint *e = add_endpoint(f, "app", s, 1);
+	struct kit_caller *c[13];
+	char text[160];
+	int i;
+
+	wait_until_ready(f);
+	configure(f, CUSTOMERS("4", "\"k1\""), 4);
+	for (i = 0; i < 13; i++) {
+		(void)snprintf(text, sizeof(text),
+		    "POST /order/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: o%d\r\n"
+		    "X-Api-Key: k1\r\nContent-Length: 0\r\n\r\n",
+		    i);
+		c[i] = kit_caller_open(f->loop, f->addr, text);
+	}
+	assert_true(kit_until(f->loop, 1000, e->requests == 12));
+	configure(f, CUSTOMERS("5", "\"k3\""), 5);
+	kit_endpoint_kill(e);
+	assert_true(kit_until(f->loop, 1500,
+	    strstr(kit_caller_received(c[12]), "HTTP/1.1") != NULL));
+	assert_non_null(strstr(kit_caller_received(c[12]), "HTTP/1.1 401"));
+	assert_int_equal(e->requests, 12);
+	for (i = 0; i < 13; i++)
+		kit_caller_free(c[i]);
+}
+
+#define KEYED_TURN(id, key, more) \
+	TURN("/chat/1", id, "X-Api-Key: " key "\r\n" more)
+
+/* Two customers use the same ids; neither sees the other's turns. */
+static void
+test_turns_belong_to_their_customer(void **state)
+{
+	static const struct kit_step s[] = {
+	    {CHUNKED PIECE("1") LAST_CHUNK, false, false}};
+	struct fixture *f = *state;
+	struct kit_endpoint *e = add_endpoint(f, "llm", s, 1);
+
+	wait_until_ready(f);
+	configure(f, CUSTOMERS("4", "\"k1\",\"k1b\""), 4);
+	expect(f, KEYED_TURN("t1", "k1", ""), 2000, LAST_CHUNK);
+	expect(f, KEYED_TURN("t2", "k4", "Previous-Turn: t1\r\n"), 2000,
+	    "HTTP/1.1 404");
+	expect(f, KEYED_TURN("t3", "k1b", "Previous-Turn: t1\r\n"), 2000,
+	    LAST_CHUNK);
+	assert_non_null(strstr(e->last, "t1piece 1\nt3"));
+}
+
+/* A turn from the time before customers were configured is continued. */
+static void
+test_turn_of_no_customer_continues(void **state)
+{
+	static const struct kit_step s[] = {
+	    {CHUNKED PIECE("1") LAST_CHUNK, false, false}};
+	struct fixture *f = *state;
+	struct kit_endpoint *e = add_endpoint(f, "llm", s, 1);
+
+	wait_until_ready(f);
+	expect(f, TURN("/chat/1", "t1", ""), 2000, LAST_CHUNK);
+	configure(f, CUSTOMERS("4", "\"k1\""), 4);
+	expect(f, KEYED_TURN("t2", "k1", "Previous-Turn: t1\r\n"), 2000,
+	    LAST_CHUNK);
+	expect(f, KEYED_TURN("t3", "k1", "Previous-Turn: t2\r\n"), 2000,
+	    LAST_CHUNK);
+	assert_non_null(strstr(e->last, "t1piece 1\nt2piece 1\nt3"));
+}
+
+/* Three requests of c2 run at once, four in a window; those that no endpoint
+ * ran don't count. */
+static void
+test_rate_limit(void **state)
+{
+	static const struct kit_step s[] = {{REFUSAL, false, false},
+	    {REFUSAL, false, false}, {PLAIN, false, false}};
+	struct fixture *f = *state;
+	struct kit_endpoint *e = add_endpoint(f, "app", s, 3);
+	struct kit_caller *c;
+
+	wait_until_ready(f);
+	/* The daemon alone has counted for a whole window. */
+	kit_run_ms(f->loop, 5300);
+	configure(f, CUSTOMERS("4", "\"k1\""), 4);
+	expect(f, KEYED("/look/a", "r1", "k2"), 2000, "HTTP/1.1 503");
+	kit_run_ms(f->loop, 100);
+	expect(f, KEYED("/look/a", "r2", "k2"), 2000, "HTTP/1.1 503");
+	kit_run_ms(f->loop, 100);
+	expect(f, KEYED("/look/a", "r3", "k2"), 2000, "done");
+	expect(f, KEYED("/look/a", "r4", "k2"), 2000, "done");
+	expect(f, KEYED("/look/a", "r5", "k2"), 2000, "done");
+	c = call(f, KEYED("/look/a", "r6", "k2"), 2000);
+	assert_non_null(strstr(kit_caller_received(c), "HTTP/1.1 429"));
+	assert_non_null(strstr(kit_caller_received(c), "Retry-After: "));
+	kit_caller_free(c);
+	expect(f, KEYED("/look/a", "r7", "k1"), 2000, "done");
+	assert_int_equal(e->requests, 6);
+}
+
 int
 main(void)
 {
@@ -926,6 +1128,13 @@
 	    T(test_late_answer_says_leaving),
 	    T(test_stream_says_leaving),
 	    T(test_leaving_endpoint_ends_its_requests),
+	    T(test_customer_is_named_to_the_endpoint),
+	    T(test_requests_without_a_valid_key),
+	    T(test_old_configuration_judges_no_unknown_key),
+	    T(test_queued_request_is_judged_again),
+	    T(test_turns_belong_to_their_customer),
+	    T(test_turn_of_no_customer_continues),
+	    T(test_rate_limit),
 #undef T
 	};
 
--- a/test/test_serve.c
+++ b/test/test_serve.c
@@ -397,6 +397,27 @@
 	kit_run_ms(f->loop, 4500);
 }
 
+/* Regression: a daemon crashed that heard that a peer leaves while it had no
+ * link of its own to that peer. */
+static void
+test_peer_without_a_link_leaves(void **state)
+{
+	struct fixture *f = *state;
+	Mu__DaemonRow row = MU__DAEMON_ROW__INIT;
+	struct mu_peer *p = mu_mesh_find_peer(f->daemon[1].mesh, f->host[0]);
+
+	row.host = f->host[0];
+	row.domain = (char *)(uintptr_t) "east";
+	row.mesh_addr = (char *)(uintptr_t) "127.0.0.1:9";
+	mu_mesh_update_peer(f->daemon[1].mesh, &row);
+	assert_false(p->up);
+	assert_true(kit_until(f->loop, 2000, p->beat != NULL));
+	mu_serve_drain(&f->daemon[0]);
+	assert_true(kit_until(f->loop, 2000, p->leaving));
+	kit_run_ms(f->loop, 300);
+	assert_false(p->up);
+}
+
 int
 main(void)
 {
@@ -409,6 +430,7 @@
 	    T(test_peers_tell_what_they_have_at_endpoints),
 	    T(test_killing_request_is_known_to_peers),
 	    T(test_daemon_starts_without_the_store),
+	    T(test_peer_without_a_link_leaves),
 #undef T
 	};
 
