Rate limits: a successor counts at nine tenths of the rate, not half

Kept: 0.9. limit_reached tells since when the count knows what ran, and the part of the fleet that its daemon sees.

--- a/src/limitcount.c
+++ b/src/limitcount.c
@@ -73,10 +73,12 @@
 		return;
 	c->logged_at = now;
 	mu_log(MU_LOG_WARN, "limiter", "limit_reached",
-	    "{s:s,s:f,s:f,s:f,s:f,s:f,s:i}", "customer", c->name, "rate",
-	    l->rate, "burst", l->burst, "available",
-	    mu_rate_available(&c->bucket, l, now), "unpledged",
-	    c->bucket.unpledged, "requests_a_program",
+	    "{s:s,s:f,s:f,s:f,s:f,s:I,s:f,s:f,s:i}", "customer", c->name,
+	    "part", mu_limit_visible(&x->map), "rate", l->rate, "burst",
+	    l->burst, "available", mu_rate_available(&c->bucket, l, now),
+	    "known_ms",
+	    (json_int_t)((now - c->bucket.started_at) / MU_US_PER_MS),
+	    "unpledged", c->bucket.unpledged, "requests_a_program",
 	    mu_rate_program_requests(&c->bucket), "retry_after_ms",
 	    (int)d->retry_after_ms);
 }
--- a/src/ratelimit.c
+++ b/src/ratelimit.c
@@ -13,7 +13,7 @@
 #include "ratelimit.h"
 
 /* r' as a part of the rate. */
-#define UNKNOWN_PAST_RATE 0.5
+#define UNKNOWN_PAST_RATE 0.9
 /* Requests of a program before any was seen; counts as much as two programs. */
 #define PROGRAM_REQUESTS 8.0
 #define PROGRAM_REQUESTS_WEIGHT 2.0
