test_limiter: all daemons listen before one dials

Cause: one run in 72 failed in its setup, MU_E_SYSTEM from mu_mesh_new: the address kept for a daemon that did not listen yet had become the local port of an earlier daemon's connection. Change: meshes are opened first and introduced to each other after that.

--- a/test/test_limiter.c
+++ b/test/test_limiter.c
@@ -112,7 +112,6 @@
 	assert_int_equal(mu_mesh_new(&d->mesh, f->loop, &mc, &hooks, &e), 0);
 	d->limiter = mu_limiter_new(f->loop, d->mesh, &lc);
 	assert_non_null(d->limiter);
-	introduce(f, i);
 	mu_limiter_peers_known(d->limiter);
 	d->running = true;
 }
@@ -156,8 +155,11 @@
 		(void)snprintf(f->d[i].host, sizeof(f->d[i].host), "d%d", i);
 		kit_unused_addr(f->d[i].addr);
 	}
+	/* All listen before one dials: a connection could take an address. */
 	for (i = 0; i < N; i++)
 		start(f, i);
+	for (i = 0; i < N; i++)
+		introduce(f, i);
 	assert_true(kit_until(f->loop, 5000, links_up(f) == N * (N - 1)));
 	/* Each daemon knows for a window that no other one counted. */
 	kit_run_ms(f->loop, WINDOW_MS + 100);
