Rate limits: a count starts anew when a part of the fleet is joined again

A root that was cut off went on deciding for itself, so that the time of its last decision hid that another daemon had decided for the rest, and no count knew what lone daemons had admitted. Ruled out: the lone daemons' own parts, which the test of a divided fleet bounds.

Change: a count starts anew, with what a new count admits, when an asker's last decision by another daemon is later than its start, or when a peer comes up again as the process that it was before (mesh.c: rejoined). Several starts in a window share one allowance. mu_rate_gap() is gone.

--- a/src/limitcount.c
+++ b/src/limitcount.c
@@ -2,8 +2,9 @@
  * limitcount.c -- counts what customers use, as the root or for this daemon.
  *
  * The limit of a count is scaled by the part of the fleet that its daemon sees
- * (limitmap.c).  When another daemon has decided in between, the most that it
- * may have admitted is added.
+ * (limitmap.c).  It starts anew when other daemons have admitted requests that
+ * it has not counted: one of them decided for an asker, or a daemon is back
+ * that ran all the time without a link.
  *
  * What the operator accepts beyond a limit is divided: half is added to the
  * limit, a quarter is for new counts and a quarter for requests whose root does
@@ -83,7 +84,7 @@
 	    (int)d->retry_after_ms);
 }
 
-/* Whether another daemon has decided since this one last did. */
+/* Whether another daemon has decided since this count started. */
 static bool
 decided_elsewhere(
     struct mu_limiter *x, const struct mu_limited *c, const Mu__LimitAsk *q)
@@ -91,7 +92,7 @@
 	mu_us at = mu_loop_now(x->loop) - q->last_root_age_ms * MU_US_PER_MS;
 
 	return q->last_root != 0 && q->last_root != x->conf.incarnation &&
-	       at > c->decided_at;
+	       at > c->bucket.started_at;
 }
 
 /* Prepares the count that this daemon keeps. */
@@ -104,10 +105,10 @@
 
 	if (!c->is_root)
 		mu_rate_init(&c->bucket, &l, x->map.unchanged_since, now);
-	else if (decided_elsewhere(x, c, q))
-		mu_rate_gap(&c->bucket, &l, c->decided_at, now);
+	else if (decided_elsewhere(x, c, q) ||
+		 c->bucket.started_at < x->map.rejoined_at)
+		mu_rate_restart(&c->bucket, &l, now);
 	c->is_root = true;
-	c->decided_at = now;
 	return l;
 }
 
--- a/src/limiter.c
+++ b/src/limiter.c
@@ -507,9 +507,9 @@
 }
 
 void
-mu_limiter_peers_changed(struct mu_limiter *x)
+mu_limiter_peer_changed(struct mu_limiter *x, const struct mu_peer *p)
 {
-	mu_limit_map_changed(&x->map);
+	mu_limit_map_changed(&x->map, p);
 }
 
 void
--- a/src/limiter.h
+++ b/src/limiter.h
@@ -53,7 +53,7 @@
 void mu_limiter_peers_known(struct mu_limiter *x);
 
 /* A peer went up or down, or began to leave. */
-void mu_limiter_peers_changed(struct mu_limiter *x);
+void mu_limiter_peer_changed(struct mu_limiter *x, const struct mu_peer *p);
 /* The daemon shuts down: other daemons take over the buckets that it keeps. */
 void mu_limiter_drain(struct mu_limiter *x);
 
--- a/src/limiter_private.h
+++ b/src/limiter_private.h
@@ -22,7 +22,6 @@
 	unsigned unanswered; /* admitted, not yet answered */
 	uint64_t last_root; /* incarnation */
 	mu_us last_root_at;
-	mu_us decided_at; /* as the root */
 	mu_us used_at;
 	mu_us logged_at;
 };
--- a/src/limitmap.c
+++ b/src/limitmap.c
@@ -88,9 +88,11 @@
 }
 
 void
-mu_limit_map_changed(struct mu_limit_map *m)
+mu_limit_map_changed(struct mu_limit_map *m, const struct mu_peer *p)
 {
 	m->unchanged_since = mu_loop_now(m->loop);
+	if (p->up && p->rejoined)
+		m->rejoined_at = m->unchanged_since;
 	m->visible_at = 0;
 }
 
--- a/src/limitmap.h
+++ b/src/limitmap.h
@@ -16,6 +16,8 @@
 	bool leaving; /* keeps no bucket while there are other daemons */
 	/* Since when this daemon sees the same daemons. */
 	mu_us unchanged_since;
+	/* When a daemon came back that had run all the time; 0: never. */
+	mu_us rejoined_at;
 	/* Of mu_limit_visible(). */
 	double visible;
 	mu_us visible_at; /* 0: not computed yet */
@@ -29,7 +31,7 @@
  */
 double mu_limit_visible(struct mu_limit_map *m);
 /* A peer went up or down, or began to leave. */
-void mu_limit_map_changed(struct mu_limit_map *m);
+void mu_limit_map_changed(struct mu_limit_map *m, const struct mu_peer *p);
 /* Number of daemons that may be running, this one included. */
 unsigned mu_limit_daemons(struct mu_limit_map *m);
 /* The customer's home in this daemon's domain; NULL: this daemon. */
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -107,8 +107,12 @@
 	if (up == p->up)
 		return;
 	p->up = up;
-	if (!up)
+	if (up) {
+		p->rejoined = p->up_incarnation == p->incarnation;
+		p->up_incarnation = p->incarnation;
+	} else {
 		p->has_inbound_link = false;
+	}
 	mu_log(up ? MU_LOG_INFO : MU_LOG_WARN, "mesh",
 	    up ? "peer_up" : "peer_down", "{s:s,s:b,s:I}", "host", p->host,
 	    "connected", p->connected, "heard_ms_ago",
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -25,6 +25,8 @@
 	char domain[MU_NAME_LEN];
 	uint64_t weight; /* orders a domain's peers for choosing links */
 	uint64_t incarnation;
+	uint64_t up_incarnation; /* when it was up last; 0: never */
+	bool rejoined; /* came up as the process that was up before */
 	mu_us last_heartbeat_at; /* 0: none since the link was closed */
 	mu_us last_seen_at; /* last heartbeat of all; 0: none */
 	bool connected; /* link is established */
--- a/src/ratelimit.c
+++ b/src/ratelimit.c
@@ -86,17 +86,13 @@
 }
 
 void
-mu_rate_gap(struct mu_rate_state *s, const struct mu_rate_limit *l, mu_us from,
-    mu_us now)
+mu_rate_restart(
+    struct mu_rate_state *s, const struct mu_rate_limit *l, mu_us now)
 {
-	double gap = seconds(now - from);
-
-	if (gap >= l->window_s) {
-		mu_rate_init(s, l, now, now);
-		return;
-	}
-	advance(s, l, now);
-	s->count[0] += l->initial + UNKNOWN_PAST_RATE * l->rate * gap;
+	/* Several starts in a window share one allowance. */
+	if (seconds(now - s->started_at) >= l->window_s)
+		s->ran_since_start = 0;
+	s->started_at = now;
 }
 
 double
@@ -128,8 +124,8 @@
 		available = fmin(available, left);
 	}
 	if (known < l->window_s)
-		available =
-		    fmin(available, l->initial + reserved * known - ran);
+		available = fmin(available,
+		    l->initial + reserved * known - s->ran_since_start);
 	return available;
 }
 
@@ -145,6 +141,7 @@
 count(struct mu_rate_state *s, enum mu_rate_kind kind)
 {
 	s->count[0] += 1;
+	s->ran_since_start += 1;
 	if (kind == MU_RATE_SINGLE)
 		s->unpledged -= 1;
 	else
@@ -237,6 +234,8 @@
 	int i;
 
 	advance(s, l, now);
+	if (s->ran_since_start >= 1)
+		s->ran_since_start -= 1;
 	for (i = 0; i < MU_RATE_SLICES; i++)
 		if (s->count[i] >= 1) {
 			s->count[i] -= 1;
--- a/src/ratelimit.h
+++ b/src/ratelimit.h
@@ -40,6 +40,8 @@
 
 struct mu_rate_state {
 	mu_us started_at; /* nothing is known of the time before */
+	double
+	    ran_since_start; /* or since an earlier start, if that was lately */
 	int64_t slice; /* number of the current slice, from time 0 */
 	double count[MU_RATE_SLICES]; /* by slice; the current one: count[0] */
 	mu_us refilled_at; /* of unpledged */
@@ -73,10 +75,9 @@
  * the time before. */
 void mu_rate_init(struct mu_rate_state *s, const struct mu_rate_limit *l,
     mu_us since, mu_us now);
-/* Another daemon counted since `from` and knew nothing of this count: adds the
- * most that it may have admitted. */
-void mu_rate_gap(struct mu_rate_state *s, const struct mu_rate_limit *l,
-    mu_us from, mu_us now);
+/* Other daemons have admitted requests until now that are not counted here. */
+void mu_rate_restart(
+    struct mu_rate_state *s, const struct mu_rate_limit *l, mu_us now);
 /* Decides on a request, and counts it unless it is refused. */
 struct mu_rate_decision mu_rate_take(struct mu_rate_state *s,
     const struct mu_rate_limit *l, enum mu_rate_kind kind, mu_us now);
--- a/src/serve.c
+++ b/src/serve.c
@@ -299,7 +299,7 @@
 {
 	struct mu_serve *s = arg;
 
-	mu_limiter_peers_changed(s->limiter);
+	mu_limiter_peer_changed(s->limiter, p);
 	if (p->up || p->beat == NULL)
 		return;
 	apply_peer_uses(s, p->beat, false);
