--- a/src/account.c
+++ b/src/account.c
@@ -19,6 +19,7 @@
 
 #include "account_private.h"
 #include "log.h"
+#include "scope.h"
 
 /* Time to live of idle programs; longer than any pause between turns. */
 #define IDLE_PROGRAM_TTL_US (90 * MU_US_PER_S)
@@ -265,8 +266,9 @@
 	else
 		mu_ledger_released(&p->ledger, loan->lent);
 	mu_log(MU_LOG_INFO, "home", "guarantor_asked", "{s:s,s:I,s:b,s:I}",
-	    "program", p->id, "amount", (json_int_t)p->loan_amount, "given",
-	    loan->given, "lent", (json_int_t)loan->lent);
+	    "program", mu_scope_plain(p->id), "amount",
+	    (json_int_t)p->loan_amount, "given", loan->given, "lent",
+	    (json_int_t)loan->lent);
 	mu_account_serve(p);
 }
 
@@ -321,8 +323,9 @@
 	if (rest == 0)
 		return false;
 	mu_log(MU_LOG_INFO, "home", "reserved_short", "{s:s,s:s,s:I,s:I}",
-	    "program", p->id, "request", w->turn, "tokens", (json_int_t)rest,
-	    "most", (json_int_t)w->tokens);
+	    "program", mu_scope_plain(p->id), "request",
+	    mu_scope_plain(w->turn), "tokens", (json_int_t)rest, "most",
+	    (json_int_t)w->tokens);
 	w->tokens = rest;
 	p->guarantor_refused = MU_REFUSED_NOTHING;
 	complete_reserved(p, w);
@@ -341,8 +344,8 @@
 		return;
 	}
 	mu_log(MU_LOG_INFO, "home", "budget_exhausted",
-	    "{s:s,s:I,s:I,s:I,s:I,s:I,s:b}", "program", p->id, "budget",
-	    (json_int_t)p->ledger.budget, "granted",
+	    "{s:s,s:I,s:I,s:I,s:I,s:I,s:b}", "program", mu_scope_plain(p->id),
+	    "budget", (json_int_t)p->ledger.budget, "granted",
 	    (json_int_t)p->ledger.granted, "spent_here",
 	    (json_int_t)p->ledger.spent, "reserved_here",
 	    (json_int_t)p->ledger.reserved, "most", (json_int_t)w->tokens,
--- a/src/accountrow.c
+++ b/src/accountrow.c
@@ -12,6 +12,7 @@
 
 #include "account_private.h"
 #include "log.h"
+#include "scope.h"
 #include "metric.h"
 
 /* Pause without turns after which unused tokens are returned.  Most pauses of
@@ -46,7 +47,7 @@
 		mu__ledger_row__free_unpacked(row, NULL);
 	} else if (p->ver != 0) {
 		mu_log(MU_LOG_ERROR, "home", "budget_row_unreadable", "{s:s}",
-		    "program", p->id);
+		    "program", mu_scope_plain(p->id));
 		p->ledger.granted = p->ledger.budget;
 	}
 }
@@ -125,8 +126,8 @@
 		break;
 	default:
 		mu_log(MU_LOG_WARN, "home", "draw_failed", "{s:s,s:i,s:b}",
-		    "program", p->id, "status", (int)r->status, "returning",
-		    p->write.returning);
+		    "program", mu_scope_plain(p->id), "status", (int)r->status,
+		    "returning", p->write.returning);
 		if (r->status != MU__STORE_RESULT__STATUS__INVALID) {
 			mark_unresolved(p);
 			break;
--- a/src/historyread.c
+++ b/src/historyread.c
@@ -14,6 +14,7 @@
 
 #include "history_private.h"
 #include "log.h"
+#include "scope.h"
 #include "metric.h"
 
 /* Interval between checks of a first candidate that has not answered.  Once
@@ -119,7 +120,7 @@
 		 * absent one is a fault. */
 		if (all_absent)
 			mu_log(MU_LOG_ERROR, "history", "record_missing",
-			    "{s:s}", "turn", q->turn);
+			    "{s:s}", "turn", mu_scope_plain(q->turn));
 	}
 	f->turns_pending--;
 }
@@ -162,8 +163,8 @@
 			q->nabsent++;
 		else
 			mu_log(MU_LOG_ERROR, "history", "record_unreadable",
-			    "{s:s,s:I}", "turn", q->turn, "rows",
-			    (json_int_t)r->n_rows);
+			    "{s:s,s:I}", "turn", mu_scope_plain(q->turn),
+			    "rows", (json_int_t)r->n_rows);
 	}
 	if (!q->finished)
 		read_remaining_candidates(q);
--- a/src/historywrite.c
+++ b/src/historywrite.c
@@ -18,6 +18,7 @@
 
 #include "history_private.h"
 #include "log.h"
+#include "scope.h"
 #include "metric.h"
 
 /* Added to a row's retention time, because later turns, written by any daemon,
@@ -127,7 +128,7 @@
 		mu_observe(MU_H_COMMIT, took);
 	} else {
 		mu_log(MU_LOG_WARN, "history", "commit_failed", "{s:s,s:I}",
-		    "turn", c->key, "waited_ms",
+		    "turn", mu_scope_plain(c->key), "waited_ms",
 		    (json_int_t)(took / MU_US_PER_MS));
 	}
 	c->fn(c->arg, st);
@@ -302,7 +303,8 @@
 	c->len = mu__turn_record__get_packed_size(rec);
 	if (c->len > CHUNK_MAX_BYTES * CHUNKS_MAX) {
 		mu_log(MU_LOG_ERROR, "history", "record_too_large", "{s:s,s:I}",
-		    "turn", rec->turn, "bytes", (json_int_t)c->len);
+		    "turn", mu_scope_plain(rec->turn), "bytes",
+		    (json_int_t)c->len);
 		free(c);
 		fn(arg, MU_HISTORY_UNAVAILABLE);
 		return;
--- a/src/home.c
+++ b/src/home.c
@@ -17,6 +17,7 @@
 #include "home.h"
 #include "loans.h"
 #include "log.h"
+#include "scope.h"
 
 /* Timeout of a request to the home: time for several draws from a slow store.
  * A home that has terminated is noticed earlier, as its link closes. */
@@ -242,7 +243,7 @@
 	all = mu__turn_records__unpack(NULL, bytes->len, bytes->data);
 	if (all == NULL) {
 		mu_log(MU_LOG_WARN, "home", "history_unreadable", "{s:s,s:s}",
-		    "turn", g->turn, "host", g->grant->host);
+		    "turn", mu_scope_plain(g->turn), "host", g->grant->host);
 		return;
 	}
 	for (i = 0; i < all->n_records; i++) {
@@ -262,7 +263,8 @@
 	struct mu_settlement none = {.program = g->program, .turn = g->turn};
 
 	mu_log(MU_LOG_INFO, "home", "home_silent", "{s:s,s:s,s:s}", "request",
-	    g->turn, "program", g->program, "host", g->grant->host);
+	    mu_scope_plain(g->turn), "program", mu_scope_plain(g->program),
+	    "host", g->grant->host);
 	send_settlement(g->home, g->grant, &none);
 	reserve_locally(g);
 }
--- a/test/test_serveconf.c
+++ b/test/test_serveconf.c
@@ -38,6 +38,11 @@
 	(void)state;
 	assert_int_equal(parse(GOOD, &e), 0);
 	assert_int_equal(parse(GOOD "stop_ms: 3000\n", &e), 0);
+	assert_int_equal(parse(GOOD "limit_overage: 0.1\n"
+				    "limit_slack: 20\n"
+				    "key_trust_ms: 5000\n",
+			     &e),
+	    0);
 }
 
 /* The error message names the bad setting. */
@@ -51,6 +56,10 @@
 	    {GOOD "stop_ms: 5\n", "stop_ms"},
 	    {GOOD "stop_ms: soon\n", "stop_ms"},
 	    {GOOD "address_ttl_ms: 99999999\n", "address_ttl_ms"},
+	    {GOOD "limit_overage: -0.1\n", "limit_overage"},
+	    {GOOD "limit_overage: much\n", "limit_overage"},
+	    {GOOD "limit_window_ms: 0\n", "limit_window_ms"},
+	    {GOOD "config_fresh_ms: 0\n", "config_fresh_ms"},
 	    {"host: d1\n", ""}};
 	struct mu_error e;
 	size_t i;
@@ -69,7 +78,8 @@
 	static const char *const names[] = {"host", "domain", "region",
 	    "caller_addr", "ready_addr", "directory_addr", "mesh_addr",
 	    "metrics_addr", "store_addr", "stop_ms", "address_ttl_ms",
-	    "log_level"};
+	    "config_fresh_ms", "key_trust_ms", "limit_window_ms",
+	    "limit_overage", "limit_slack", "log_level"};
 	char page[8192], row[64];
 	FILE *f = fopen("docs/serving-settings.md", "re");
 	size_t i, n;
