--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -119,11 +119,11 @@
    */
   MU__LIMIT_ASK__HOP__DOMAIN = 0,
   /*
-   * to any daemon of the domain that keeps the bucket
+   * to any daemon of the root's domain
    */
   MU__LIMIT_ASK__HOP__ROOT_DOMAIN = 1,
   /*
-   * within that domain, to the daemon that keeps it
+   * within that domain, to the root
    */
   MU__LIMIT_ASK__HOP__ROOT = 2
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MU__LIMIT_ASK__HOP)
@@ -853,7 +853,7 @@
 
 
 /*
- * Corrects a customer's bucket; takes the way of a LimitAsk.
+ * Corrects a customer's count; takes the way of a LimitAsk.
  */
 struct  Mu__LimitNote
 {
--- a/src/limitcount.c
+++ b/src/limitcount.c
@@ -33,9 +33,9 @@
 	       SHARE_DIVISOR;
 }
 
-/* The limit of a bucket that this daemon keeps. */
+/* The limit of a count that this daemon keeps. */
 static struct mu_rate_limit
-bucket_limit(struct mu_limiter *x, const struct mu_customer *c)
+count_limit(struct mu_limiter *x, const struct mu_customer *c)
 {
 	double part = mu_limit_visible(&x->map);
 	struct mu_rate_limit l;
@@ -76,11 +76,11 @@
 	mu_log(MU_LOG_WARN, "limiter", "limit_reached",
 	    "{s:s,s:f,s:f,s:f,s:f,s:I,s:f,s:f,s:i}", "customer", c->name,
 	    "part", mu_limit_visible(&x->map), "rate", l->rate, "burst",
-	    l->burst, "available", mu_rate_available(&c->bucket, l, now),
+	    l->burst, "available", mu_rate_available(&c->count, l, now),
 	    "known_ms",
-	    (json_int_t)((now - c->bucket.started_at) / MU_US_PER_MS),
-	    "unpledged", c->bucket.unpledged, "requests_a_program",
-	    mu_rate_program_requests(&c->bucket), "retry_after_ms",
+	    (json_int_t)((now - c->count.started_at) / MU_US_PER_MS),
+	    "unpledged", c->count.unpledged, "requests_a_program",
+	    mu_rate_program_requests(&c->count), "retry_after_ms",
 	    (int)d->retry_after_ms);
 }
 
@@ -92,22 +92,22 @@
 	mu_us at = mu_loop_now(x->loop) - q->last_root_age_ms * MU_US_PER_MS;
 
 	return q->last_root != 0 && q->last_root != x->conf.incarnation &&
-	       at > c->bucket.started_at;
+	       at > c->count.started_at;
 }
 
 /* Prepares the count that this daemon keeps. */
 static struct mu_rate_limit
-open_bucket(struct mu_limiter *x, struct mu_limited *c,
+open_count(struct mu_limiter *x, struct mu_limited *c,
     const struct mu_customer *spec, const Mu__LimitAsk *q)
 {
-	struct mu_rate_limit l = bucket_limit(x, spec);
+	struct mu_rate_limit l = count_limit(x, spec);
 	mu_us now = mu_loop_now(x->loop);
 
 	if (!c->is_root)
-		mu_rate_init(&c->bucket, &l, x->map.unchanged_since, now);
+		mu_rate_init(&c->count, &l, x->map.unchanged_since, now);
 	else if (decided_elsewhere(x, c, q) ||
-		 c->bucket.started_at < x->map.rejoined_at)
-		mu_rate_restart(&c->bucket, &l, now);
+		 c->count.started_at < x->map.rejoined_at)
+		mu_rate_restart(&c->count, &l, now);
 	c->is_root = true;
 	return l;
 }
@@ -129,12 +129,12 @@
 	a->ample = true;
 	if (spec->rate <= 0)
 		return;
-	l = open_bucket(x, c, spec, q);
+	l = open_count(x, c, spec, q);
 	if (q->admitted)
-		mu_rate_admitted(&c->bucket, &l, kind, now);
+		mu_rate_admitted(&c->count, &l, kind, now);
 	else
-		d = mu_rate_take(&c->bucket, &l, kind, now);
-	a->ample = mu_rate_ample(&c->bucket, &l, now);
+		d = mu_rate_take(&c->count, &l, kind, now);
+	a->ample = mu_rate_ample(&c->count, &l, now);
 	a->retry_after_ms = d.retry_after_ms;
 	if (d.verdict == MU_RATE_ADMIT_STARTED)
 		a->status = MU__LIMIT_ANSWER__STATUS__ADMITTED_STARTED;
@@ -173,9 +173,9 @@
 
 	if (spec == NULL || spec->rate <= 0 || !c->is_root)
 		return;
-	l = bucket_limit(x, spec);
+	l = count_limit(x, spec);
 	for (i = 0; i < n->refunds; i++)
-		mu_rate_refund(&c->bucket, &l, now);
+		mu_rate_refund(&c->count, &l, now);
 	for (i = 0; i < n->programs; i++)
-		mu_rate_program_started(&c->bucket, &l, now);
+		mu_rate_program_started(&c->count, &l, now);
 }
--- a/src/limiter.c
+++ b/src/limiter.c
@@ -250,7 +250,11 @@
 	struct mu_limit_result r = {
 	    MU_LIMIT_UNAVAILABLE, RETRY_AFTER_UNAVAILABLE_MS};
 
-	if (t->admitted || mu_limit_take_share(x, t->name))
+	if (t->admitted) {
+		finish(t, &r);
+		return;
+	}
+	if (mu_limit_take_share(x, t->name))
 		r = (struct mu_limit_result){MU_LIMIT_ADMITTED, 0};
 	mu_count(MU_M_LIMIT_UNANSWERED, 1);
 	mu_log(MU_LOG_INFO, "limiter", "root_silent", "{s:s,s:b}", "customer",
--- a/src/limiter.h
+++ b/src/limiter.h
@@ -1,11 +1,12 @@
 /*
  * limiter.h -- customers' rate limits over all daemons.
  *
- * One daemon keeps the bucket of a customer (ratelimit.h): its root, chosen by
- * rendezvous hashing first among the failure domains and then among the daemons
- * of one.  Every admitted request is reported to it on the links that the mesh
- * has anyway.  While a customer is far below its limit, requests are admitted
- * first and reported at once; near the limit they wait for the root's answer.
+ * One daemon counts the requests of a customer (ratelimit.h): its root, chosen
+ * by rendezvous hashing first among the failure domains and then among the
+ * daemons of one.  Every admitted request is reported to it on the links that
+ * the mesh has anyway.  While a customer is far below its limit, requests are
+ * admitted first and reported at once; near the limit they wait for the root's
+ * answer.
  */
 #ifndef MU_LIMITER_H
 #define MU_LIMITER_H
@@ -54,7 +55,7 @@
 
 /* A peer went up or down, or began to leave. */
 void mu_limiter_peer_changed(struct mu_limiter *x, const struct mu_peer *p);
-/* The daemon shuts down: other daemons take over the buckets that it keeps. */
+/* The daemon shuts down: other daemons count in its place. */
 void mu_limiter_drain(struct mu_limiter *x);
 
 /* Takes a token for a request of the customer.  fn is called exactly once,
--- a/src/limiter_private.h
+++ b/src/limiter_private.h
@@ -14,9 +14,9 @@
 	struct mu_hnode node;
 	struct cds_list_head all;
 	char name[MU_NAME_LEN];
-	bool is_root; /* `bucket` is in use */
+	bool is_root; /* `count` is in use */
 	bool has_share; /* `share` is in use */
-	struct mu_rate_state bucket;
+	struct mu_rate_state count;
 	struct mu_rate_state share; /* for requests without an answer */
 	mu_us ample_until;
 	unsigned unanswered; /* admitted, not yet answered */
--- a/src/limitmap.c
+++ b/src/limitmap.c
@@ -1,5 +1,5 @@
 /*
- * limitmap.c -- which daemon keeps a customer's rate limit bucket.
+ * limitmap.c -- which daemon counts a customer's requests.
  *
  * A customer's root is chosen by rendezvous hashing, first among the failure
  * domains and then among the daemons of one.  A request for a token goes to the
@@ -107,7 +107,7 @@
 	return n;
 }
 
-/* The domain that keeps the customer's bucket.  Domains without a peer that is
+/* The domain whose daemon counts the customer.  Domains without a peer that is
  * up are passed over. */
 static const char *
 root_domain(struct mu_limit_map *m, const char *customer)
--- a/src/limitmap.h
+++ b/src/limitmap.h
@@ -1,5 +1,5 @@
 /*
- * limitmap.h -- which daemon keeps a customer's rate limit bucket, the way to
+ * limitmap.h -- which daemon counts a customer's requests, the way to
  * it, and the part of the fleet that this daemon sees.
  */
 #ifndef MU_LIMITMAP_H
@@ -13,7 +13,7 @@
 	const char *host;
 	const char *domain;
 	mu_us opened_at;
-	bool leaving; /* keeps no bucket while there are other daemons */
+	bool leaving; /* counts nothing while there are other daemons */
 	/* Since when this daemon sees the same daemons. */
 	mu_us unchanged_since;
 	/* When a daemon came back that had run all the time; 0: never. */
@@ -25,7 +25,7 @@
 
 /*
  * The fraction of the fleet that this daemon sees: of the domains, and of the
- * daemons in its own.  Buckets are scaled by it, so that the sum over all parts
+ * daemons in its own.  Counts are scaled by it, so that the sum over all parts
  * of a divided fleet stays within the limit; a daemon that sees no other is
  * left with an equal share.
  */
--- a/test/test_limiter.c
+++ b/test/test_limiter.c
@@ -1,5 +1,6 @@
 /* test_limiter.c -- rate limits over several daemons in two failure domains:
- * real links on one loop, daemons that die or are cut off. */
+ * real links on one loop and a clock that the tests advance, daemons that die
+ * or are cut off. */
 #include <stdarg.h>
 #include <stddef.h>
 #include <setjmp.h>
@@ -82,20 +83,30 @@
 		mu_limiter_on_note(d->limiter, frame->limit_note);
 }
 
-/* Tells daemon i the addresses of all. */
+/* Tells daemon i where daemon k is; cut: at an address without a listener. */
 static void
-introduce(struct fixture *f, int i)
+introduce(struct fixture *f, int i, int k, bool cut)
 {
 	Mu__DaemonRow row = MU__DAEMON_ROW__INIT;
+
+	row.host = f->d[k].host;
+	row.domain = (char *)(uintptr_t)domain_of(k);
+	row.mesh_addr = cut ? (char *)(uintptr_t) "127.0.0.1:9" : f->d[k].addr;
+	row.incarnation = 0; /* of no daemon: dials at once */
+	mu_mesh_update_peer(f->d[i].mesh, &row);
+}
+
+/* Cuts daemon i off from all others, or joins it again. */
+static void
+set_cut(struct fixture *f, int i, bool cut)
+{
 	int k;
 
-	for (k = 0; k < N; k++) {
-		row.host = f->d[k].host;
-		row.domain = (char *)(uintptr_t)domain_of(k);
-		row.mesh_addr = f->d[k].addr;
-		row.incarnation = 1;
-		mu_mesh_update_peer(f->d[i].mesh, &row);
-	}
+	for (k = 0; k < N; k++)
+		if (k != i) {
+			introduce(f, i, k, cut);
+			introduce(f, k, i, cut);
+		}
 }
 
 static void
@@ -127,6 +138,21 @@
 	mu_limiter_free(f->d[i].limiter);
 }
 
+#define ROUNDS 8 /* of the loop in a millisecond, for frames on their way */
+
+/* Advances the clock; what is sent meanwhile arrives within a millisecond. */
+static void
+run_ms(struct fixture *f, unsigned ms)
+{
+	int i;
+
+	while (ms-- > 0) {
+		for (i = 0; i < ROUNDS; i++)
+			mu_loop_once(f->loop, 0);
+		mu_clock_advance(&f->clock, MU_US_PER_MS);
+	}
+}
+
 static unsigned
 links_up(struct fixture *f)
 {
@@ -146,9 +172,9 @@
 setup(void **state)
 {
 	struct fixture *f = calloc(1, sizeof(*f));
-	int i;
+	int i, k;
 
-	mu_clock_real(&f->clock);
+	mu_clock_manual(&f->clock, 1000 * MU_US_PER_S);
 	f->loop = mu_loop_new(&f->clock);
 	f->customer =
 	    (struct mu_customer){.name = "c", .rate = RATE, .burst = BURST};
@@ -160,10 +186,12 @@
 	for (i = 0; i < N; i++)
 		start(f, i);
 	for (i = 0; i < N; i++)
-		introduce(f, i);
-	assert_true(kit_until(f->loop, 5000, links_up(f) == N * (N - 1)));
+		for (k = 0; k < N; k++)
+			introduce(f, i, k, false);
+	run_ms(f, 3000);
+	assert_int_equal(links_up(f), N * (N - 1));
 	/* Each daemon knows for a window that no other one counted. */
-	kit_run_ms(f->loop, WINDOW_MS + 100);
+	run_ms(f, WINDOW_MS + 100);
 	*state = f;
 	return 0;
 }
@@ -217,10 +245,16 @@
 				take(f, (int)(n % N));
 				sent++;
 			}
-		kit_run_ms(f->loop, 5);
+		run_ms(f, 1);
 		spent = mu_now(&f->clock) - began;
 	}
-	assert_true(kit_until(f->loop, 1000, f->answered == f->asked));
+}
+
+static void
+expect_all_answered(struct fixture *f)
+{
+	run_ms(f, 200);
+	assert_int_equal(f->answered, f->asked);
 }
 
 static int
@@ -247,6 +281,7 @@
 	struct fixture *f = *state;
 
 	send_for(f, 2000, RATE);
+	expect_all_answered(f);
 	assert_int_equal(f->admitted, f->asked);
 }
 
@@ -256,6 +291,7 @@
 	struct fixture *f = *state;
 
 	send_for(f, 900, 10 * RATE);
+	expect_all_answered(f);
 	assert_in_range(
 	    f->admitted, (RATE + BURST) * 6 / 10, RATE + BURST + ACCEPTED);
 	assert_int_equal(f->admitted + f->refused, f->asked);
@@ -270,6 +306,7 @@
 	send_for(f, 400, 10 * RATE);
 	stop(f, find_root(f));
 	send_for(f, 500, 10 * RATE);
+	expect_all_answered(f);
 	assert_in_range(f->admitted, 1, RATE + BURST + ACCEPTED);
 }
 
@@ -290,31 +327,22 @@
 	return most;
 }
 
-/* Regression: cut off from each other and joined again, daemons admitted more
- * than the limit, since none knew what the others had admitted meanwhile. */
+/* Regression: daemons that had been cut off from each other were joined again,
+ * and none knew what the others had admitted meanwhile. */
 static void
 test_fleet_is_joined_again(void **state)
 {
 	struct fixture *f = *state;
-	char addr[N][MU_ADDR_LEN];
-	int i, k;
+	int i;
 
-	for (k = 0; k < 2; k++) {
-		send_for(f, 300, 10 * RATE);
-		for (i = 0; i < N; i++) {
-			memcpy(addr[i], f->d[i].addr, sizeof(addr[i]));
-			(void)snprintf(
-			    f->d[i].addr, sizeof(f->d[i].addr), "127.0.0.1:9");
-		}
-		for (i = 0; i < N; i++)
-			introduce(f, i);
-		send_for(f, 1500, 10 * RATE);
-		for (i = 0; i < N; i++)
-			memcpy(f->d[i].addr, addr[i], sizeof(addr[i]));
-		for (i = 0; i < N; i++)
-			introduce(f, i);
-		send_for(f, 2500, 10 * RATE);
-	}
+	for (i = 0; i < N; i++)
+		set_cut(f, i, true);
+	run_ms(f, WINDOW_MS + 100);
+	send_for(f, 400, 10 * RATE);
+	for (i = 0; i < N; i++)
+		set_cut(f, i, false);
+	send_for(f, 900, 10 * RATE);
+	expect_all_answered(f);
 	assert_int_equal(links_up(f), N * (N - 1));
 	assert_in_range(
 	    most_in_window(f), (RATE + BURST) / 2, RATE + BURST + ACCEPTED);
@@ -327,18 +355,15 @@
 	struct fixture *f = *state;
 	int i, k;
 
-	/* Removing the links cuts the daemons off; the rows remain. */
-	for (i = 0; i < N; i++)
-		(void)snprintf(
-		    f->d[i].addr, sizeof(f->d[i].addr), "127.0.0.1:9");
 	for (i = 0; i < N; i++)
-		introduce(f, i);
-	assert_true(kit_until(f->loop, 3000, links_up(f) == 0));
-	kit_run_ms(f->loop, WINDOW_MS + 100);
+		set_cut(f, i, true);
+	run_ms(f, 1000);
+	assert_int_equal(links_up(f), 0);
+	run_ms(f, WINDOW_MS + 100);
 	for (k = 0; k < 80; k++) {
 		for (i = 0; i < N; i++)
 			take(f, i);
-		kit_run_ms(f->loop, 10);
+		run_ms(f, 10);
 	}
 	assert_int_equal(f->answered, f->asked);
 	assert_in_range(
@@ -352,11 +377,13 @@
 	unsigned i, before;
 
 	send_for(f, 400, 10 * RATE);
+	expect_all_answered(f);
 	before = f->admitted;
 	for (i = 0; i < 30; i++)
 		mu_limiter_refund(f->d[i % N].limiter, "c");
-	kit_run_ms(f->loop, 30);
+	run_ms(f, 30);
 	send_for(f, 50, 20 * RATE);
+	expect_all_answered(f);
 	assert_true(f->admitted >= before + 30);
 }
 
@@ -368,7 +395,8 @@
 
 	mu_limiter_drain(f->d[root].limiter);
 	take(f, root);
-	assert_true(kit_until(f->loop, 1000, f->answered == 1));
+	run_ms(f, 500);
+	assert_int_equal(f->answered, 1);
 	assert_int_equal(f->admitted, 1);
 }
 
