Limits: one sender of notes, no unread heartbeat field, one bound of ids

Cause: found on reading the whole change. Beat.config_version was filled in every heartbeat and read nowhere, left from a push of configurations that was not built; mu_limiter_refund() and mu_limiter_program_started() were copies; the longest id stood in ingress.c and in callgate.c.

Change: the field is gone (it was in no release; its number is free again); send_note() builds the note; MU_CALL_ID_BYTES in call.h serves both. Behaviour is unchanged but for two bytes or so less in a heartbeat.

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -2204,7 +2204,7 @@
   (ProtobufCMessageInit) mu__endpoint_use__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mu__beat__field_descriptors[9] =
+static const ProtobufCFieldDescriptor mu__beat__field_descriptors[8] =
 {
   {
     "host",
@@ -2302,21 +2302,8 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "config_version",
-    10,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Mu__Beat, config_version),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned mu__beat__field_indices_by_name[] = {
-  8,   /* field[8] = config_version */
   0,   /* field[0] = host */
   1,   /* field[1] = incarnation */
   2,   /* field[2] = leaving */
@@ -2330,7 +2317,7 @@
 {
   { 1, 0 },
   { 6, 4 },
-  { 0, 9 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor mu__beat__descriptor =
 {
@@ -2340,7 +2327,7 @@
   "Mu__Beat",
   "mu",
   sizeof(Mu__Beat),
-  9,
+  8,
   mu__beat__field_descriptors,
   mu__beat__field_indices_by_name,
   2,  mu__beat__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -400,14 +400,10 @@
    */
   size_t n_quarantined;
   uint64_t *quarantined;
-  /*
-   * in force at the sender; 0: none
-   */
-  uint64_t config_version;
 };
 #define MU__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mu__beat__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
--- a/src/call.h
+++ b/src/call.h
@@ -7,6 +7,8 @@
 
 #include "serve.h"
 
+#define MU_CALL_ID_BYTES 190 /* ids go into store keys of at most 200 bytes */
+
 /* A decoded request; all pointers refer to the request's arena. */
 struct mu_call_req {
 	const char *id;
--- a/src/call_private.h
+++ b/src/call_private.h
@@ -10,7 +10,6 @@
 #include "call.h"
 #include "sse.h"
 
-#define MU_CALL_ID_BYTES 190 /* ids go into store keys of at most 200 bytes */
 #define MU_CALL_MAX_ATTEMPTS 6 /* per request, over all endpoints */
 /* Runs allowed beyond the route's max_endpoints, where the request has run. */
 #define MU_CALL_EXTRA_RUNS 2
--- a/src/limiter.c
+++ b/src/limiter.c
@@ -424,35 +424,32 @@
 }
 
 static void
-send_note(struct mu_limiter *x, Mu__LimitNote *n)
+send_note(struct mu_limiter *x, const char *customer, uint32_t refunds,
+    uint32_t programs)
 {
-	struct mu_peer *p = mu_limit_home(&x->map, n->customer);
+	struct mu_peer *p = mu_limit_home(&x->map, customer);
+	Mu__LimitNote n = MU__LIMIT_NOTE__INIT;
 
-	n->hop = MU__LIMIT_ASK__HOP__DOMAIN;
+	n.hop = MU__LIMIT_ASK__HOP__DOMAIN;
+	n.customer = (char *)(uintptr_t)customer;
+	n.refunds = refunds;
+	n.programs = programs;
 	if (p != NULL)
-		pass_note(x, n, p, n->hop);
+		pass_note(x, &n, p, n.hop);
 	else
-		mu_limiter_on_note(x, n);
+		mu_limiter_on_note(x, &n);
 }
 
 void
 mu_limiter_refund(struct mu_limiter *x, const char *customer)
 {
-	Mu__LimitNote n = MU__LIMIT_NOTE__INIT;
-
-	n.customer = (char *)(uintptr_t)customer;
-	n.refunds = 1;
-	send_note(x, &n);
+	send_note(x, customer, 1, 0);
 }
 
 void
 mu_limiter_program_started(struct mu_limiter *x, const char *customer)
 {
-	Mu__LimitNote n = MU__LIMIT_NOTE__INIT;
-
-	n.customer = (char *)(uintptr_t)customer;
-	n.programs = 1;
-	send_note(x, &n);
+	send_note(x, customer, 0, 1);
 }
 
 /* Opening and closing. */
--- a/src/serve.c
+++ b/src/serve.c
@@ -260,7 +260,6 @@
 	b->leaving = s->leaving;
 	b->ready = mu_serve_ready(s);
 	b->store_ok = mu_store_direct_available(s->store);
-	b->config_version = s->routes != NULL ? s->routes->version : 0;
 	fill_endpoint_uses(s, b);
 	fill_quarantine(s, b);
 }
