--- a/review/2/case.c
+++ b/review/2/case.c
@@ -214,7 +214,7 @@
 		(void)snprintf(engines[i].name, sizeof(engines[i].name),
 		    "i-%08x", 0x5a3c0000 + i);
 		engines[i].faulty = i < FAULTY;
-		rig_serve(engines[i].addr, on_engine, &engines[i]);
+		(void)rig_serve(engines[i].addr, on_engine, &engines[i]);
 		(void)snprintf(json, sizeof(json),
 		    "{\"service\":\"smokehouse\",\"address\":\"%s\",\"zone\":"
 		    "\"%s\",\"version\":\"1\",\"slots\":8,\"state\":\"ready\","
--- a/review/3/case.c
+++ b/review/3/case.c
@@ -159,7 +159,7 @@
 	for (i = 0; i < ENGINES; i++) {
 		(void)snprintf(engine_name[i], sizeof(engine_name[i]),
 		    "i-%08x", 0x5a3c0000 + i);
-		rig_serve(engine_addr[i], on_engine, engine_name[i]);
+		(void)rig_serve(engine_addr[i], on_engine, engine_name[i]);
 		(void)snprintf(json, sizeof(json),
 		    "{\"service\":\"smokehouse\",\"address\":\"%s\",\"zone\":"
 		    "\"%s\",\"version\":\"1\",\"slots\":8,\"state\":\"ready\","
--- a/review/rig/rig.c
+++ b/review/rig/rig.c
@@ -149,6 +149,8 @@
 	_exit(code);
 }
 
+static void fail(const char *what) __attribute__((noreturn));
+
 static void
 fail(const char *what)
 {
@@ -156,6 +158,15 @@
 	rig_exit(RIG_COULD_NOT_RUN);
 }
 
+/* Finalizer of splitmix64. */
+static unsigned long long
+mix(unsigned long long z)
+{
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
+	z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
+	return z ^ (z >> 31);
+}
+
 void
 rig_id(char id[17])
 {
@@ -164,9 +175,7 @@
 	pthread_mutex_lock(&rig.lock);
 	z = (rig.seed += 0x9e3779b97f4a7c15ULL);
 	pthread_mutex_unlock(&rig.lock);
-	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
-	z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
-	(void)snprintf(id, 17, "%016llx", z ^ (z >> 31));
+	(void)snprintf(id, 17, "%016llx", mix(z));
 }
 
 void
@@ -203,20 +212,36 @@
 		fail("bad address");
 }
 
+/* Ports below the range from which the system takes those of outgoing
+ * connections, so that nobody takes a port between its choice and its use. */
+#define PORT_FIRST 12000
+#define PORT_RANGE 18000
+
 static int
 listen_any(char addr[RIG_ADDR])
 {
+	static unsigned next;
 	struct sockaddr_in sin;
-	socklen_t len = sizeof(sin);
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-
-	parse_addr("127.0.0.1:0", &sin);
-	if (fd < 0 || bind(fd, (struct sockaddr *)&sin, sizeof(sin)) != 0 ||
-	    listen(fd, 512) != 0 ||
-	    getsockname(fd, (struct sockaddr *)&sin, &len) != 0)
-		fail("cannot listen");
-	(void)snprintf(addr, RIG_ADDR, "127.0.0.1:%d", ntohs(sin.sin_port));
-	return fd;
+	int fd, tries, on = 1;
+
+	for (tries = 0; tries < PORT_RANGE; tries++) {
+		pthread_mutex_lock(&rig.lock);
+		if (next == 0)
+			next = (unsigned)(mix(rig.seed) % PORT_RANGE) + 1;
+		(void)snprintf(addr, RIG_ADDR, "127.0.0.1:%u",
+		    PORT_FIRST + next++ % PORT_RANGE);
+		pthread_mutex_unlock(&rig.lock);
+		parse_addr(addr, &sin);
+		fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+		(void)setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+		if (fd >= 0 &&
+		    bind(fd, (struct sockaddr *)&sin, sizeof(sin)) == 0 &&
+		    listen(fd, 512) == 0)
+			return fd;
+		(void)close(fd);
+	}
+	fail("no free port");
+	return -1;
 }
 
 bool
@@ -316,14 +341,14 @@
 
 /* Servers. */
 
-struct server {
+struct rig_server {
 	int fd;
 	bool (*fn)(struct rig_req *r);
 	void *arg;
 };
 
 struct connection {
-	struct server *server;
+	struct rig_server *server;
 	int fd;
 };
 
@@ -377,7 +402,7 @@
 static void *
 server_run(void *arg)
 {
-	struct server *s = arg;
+	struct rig_server *s = arg;
 	struct connection *c;
 	int fd, on = 1;
 
@@ -389,18 +414,36 @@
 		c->fd = fd;
 		rig_thread(connection_run, c);
 	}
+	(void)close(s->fd);
 	return NULL;
 }
 
-void
+struct rig_server *
 rig_serve(char addr[RIG_ADDR], bool (*fn)(struct rig_req *r), void *arg)
 {
-	struct server *s = malloc(sizeof(*s));
+	struct rig_server *s = malloc(sizeof(*s));
 
 	s->fd = listen_any(addr);
 	s->fn = fn;
 	s->arg = arg;
 	rig_thread(server_run, s);
+	return s;
+}
+
+void
+rig_server_close(struct rig_server *s)
+{
+	/* Ends the listening state, and with it accept4() in its thread. */
+	(void)shutdown(s->fd, SHUT_RDWR);
+}
+
+void
+rig_reset(int fd)
+{
+	struct sockaddr none = {.sa_family = AF_UNSPEC};
+
+	/* Dissolving a connection resets it; its thread closes the socket. */
+	(void)connect(fd, &none, sizeof(none));
 }
 
 /* Store: rows as the pages tell them, in the order of their last change. */
@@ -656,7 +699,7 @@
 void
 rig_store_open(char addr[RIG_ADDR])
 {
-	rig_serve(addr, store_request, NULL);
+	(void)rig_serve(addr, store_request, NULL);
 }
 
 void
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -45,8 +45,12 @@
 void rig_thread(void *(*fn)(void *), void *arg);
 
 /* HTTP servers: one thread a connection; fn returns false to close it. */
-void rig_serve(
+struct rig_server *rig_serve(
     char addr[RIG_ADDR], bool (*fn)(struct rig_req *r), void *arg);
+/* Closes the port; channels that are open stay. */
+void rig_server_close(struct rig_server *s);
+/* Resets a channel whose thread still owns it. */
+void rig_reset(int fd);
 /* Copies the value of a header; false if there is none. */
 bool rig_header(const char *head, const char *name, char *to, size_t size);
 bool rig_send(int fd, const void *data, size_t len);
