--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -73,13 +73,20 @@
 	char log[256];
 	pid_t pid; /* 0: ended */
 	int status; /* of waitpid(), once it has ended */
+	/* As given to rig_daemon_start(). */
+	char zone[32];
+	char store[RIG_ADDR];
+	char extra[256];
+	int starts;
 };
 
 /* Writes the settings as deploy/settings.yaml.tmpl has them and starts
  * target/cardamomusher; extra holds more lines of settings. */
 void rig_daemon_start(struct rig_daemon *d, const char *name, const char *zone,
     const char *store, const char *extra);
-/* Waits until all are ready; exits with RIG_COULD_NOT_RUN if one is not. */
+/* Waits until all are ready; exits with RIG_COULD_NOT_RUN if one is not.  One
+ * that exits meanwhile is started again with other ports, in case another
+ * process has taken one of its ports. */
 void rig_daemons_ready(struct rig_daemon *d, int n);
 /* Whether the process runs; keeps its status once it has ended. */
 bool rig_daemon_alive(struct rig_daemon *d);
