--- a/review/2/case.c
+++ b/review/2/case.c
@@ -1,12 +1,12 @@
 /*
- * case.c -- engines that are being replaced answer without end.
+ * case.c -- one engine crashes; conversations elsewhere are refused for long.
  *
- * Three daemons before nine engines of one service; eight clients in each zone
- * send orders on kept channels all the time.  The engines are replaced one
- * after the other all the time, too: a new one starts, an old one leaves.  The
- * first ten report that they drain.  The others don't: their entries are
- * removed while they still hold requests, which they answer a little later.
- * With the disruption, the bodies of these last answers never end.
+ * Seven daemons in three zones before nine engines, as in a small deployment.
+ * Callers hold conversations that the system keeps: a first question of their
+ * own, then short answers such as "yes, go on".  Other callers send streams
+ * that may be resumed.  With the disruption, the busiest of the nine engines
+ * crashes once and is back 4.5 s later.  What the callers send from contact_ms after
+ * that on is judged.
  */
 #include <pthread.h>
 #include <stdatomic.h>
@@ -18,254 +18,303 @@
 
 #include "../rig/rig.h"
 
-#define DAEMONS 3
+#define ZONES 3
+#define DAEMONS 7
 #define ENGINES 9
-#define REPLACED 10
-#define TROUBLED 40
-#define CLIENTS 24
-#define ORDERS 40000
-#define LOST_ALLOWED 3 /* of the rule */
-#define DRAIN_S 2.0 /* drain_ms */
-#define RELEASE_GAP_S 1.0
-#define HOLD_S 1.0 /* after its entry's removal a leaving engine answers */
-#define CHUNK 16384
-#define WORK_S 0.75
-
-enum engine_state {
-	ENGINE_SOUND,
-	ENGINE_LEAVING, /* holds its answers back until answer_at */
-	ENGINE_GONE
-};
+#define CONVERSATIONS 27 /* at a time */
+#define TURNS 4
+#define STREAMS 21 /* clients */
+#define CRASH_AT_S 4.0 /* after all is ready */
+#define BUSY_RUNS 5 /* at the engine that crashes */
+#define BUSY_WAIT_S 4.0 /* for such an engine */
+#define DOWN_S 4.5 /* the site's for_s of srv_crash */
+#define CONTACT_S 3.0 /* contact_ms */
+#define JUDGED_S 20.0
+#define SENDS 3 /* a turn is sent again at most twice */
+#define ATTEMPTS 2 /* the consumer's retries: 1 */
+#define TRIES_ALLOWED 4 /* five tries or more break the rule */
+#define PROGRAM_MS 15000 /* the program's aim */
+#define EVENTS 5
+#define EVENT_S 0.05
+#define CHECK_EVENTS 1 /* of a stream that may be resumed */
+#define CHANNELS 4096
 
 struct engine {
+	int number;
+	pthread_mutex_t lock;
 	char name[24];
 	char addr[RIG_ADDR];
-	const char *zone;
-	_Atomic int state;
-	_Atomic bool endless; /* its answers have no end */
-	double answer_at;
-	int sequence;
-	long long born;
+	struct rig_server *server;
+	_Atomic bool down;
+	_Atomic int running;
+	int fd[CHANNELS]; /* its channels */
+	int nfd;
 };
 
-/* An attempt of a client; written by its client and by the engine. */
-struct order {
-	char id[17];
-	bool kept; /* the channel had carried an answer before */
-	_Atomic bool run_by_sound;
-};
+static const char *const zones[ZONES] = {"duluth", "milwaukee", "toledo"};
+/* Zone of each daemon: three, two and two. */
+static const int daemon_zone[DAEMONS] = {0, 0, 0, 1, 1, 2, 2};
+static const int zone_first[ZONES] = {0, 3, 5}, zone_size[ZONES] = {3, 2, 2};
+static const char *const inputs[] = {
+    "yes, go on", "no, the other one", "how long does that take?"};
 
-static const char *const zones[DAEMONS] = {"duluth", "milwaukee", "toledo"};
 static struct rig_daemon daemons[DAEMONS];
-static struct engine engines[ENGINES + REPLACED + TROUBLED];
-static struct order orders[ORDERS];
-static _Atomic int norders, answered, refused, failed, lost, lost_other;
-static _Atomic bool stop;
+static struct engine engines[ENGINES];
+static _Atomic int nstarts, busy, most_busy;
+static _Atomic int nfirst, nfirst_reached; /* first turns, judged */
+static _Atomic int nturns, nturns_served, nturns_refused, nlost;
+static _Atomic bool stop, judging;
+static double crashed_at, up_again_at;
+
+static bool on_engine(struct rig_req *r);
+
+static void
+start_engine(struct engine *e)
+{
+	char json[512];
+	int n = nstarts++;
+
+	(void)snprintf(e->name, sizeof(e->name), "i-%08x", 0x5a3c0000 + n);
+	e->nfd = 0;
+	e->down = false;
+	e->server = rig_serve(e->addr, on_engine, e);
+	(void)snprintf(json, sizeof(json),
+	    "{\"service\":\"smokehouse\",\"address\":\"%s\",\"zone\":\"%s\","
+	    "\"version\":\"1\",\"slots\":8,\"state\":\"ready\","
+	    "\"cold_remaining_ms\":0,\"sequence\":1,\"born\":%lld}",
+	    e->addr, zones[e->number % ZONES], 1700000000000LL + n);
+	rig_store_put("servers", e->name, json);
+}
 
-static struct order *
-find_order(const char *id)
+static void
+crash_engine(struct engine *e)
 {
 	int i;
 
-	for (i = norders - 1; i >= 0; i--)
-		if (strcmp(orders[i].id, id) == 0)
-			return &orders[i];
-	return NULL;
+	pthread_mutex_lock(&e->lock);
+	e->down = true;
+	rig_server_close(e->server);
+	for (i = 0; i < e->nfd; i++)
+		rig_reset(e->fd[i]);
+	pthread_mutex_unlock(&e->lock);
+	crashed_at = rig_now();
+	rig_note("engine %s crashes while it runs %d requests", e->name,
+	    e->running);
+}
+
+static void
+remember_channel(struct engine *e, int fd)
+{
+	int i;
+
+	pthread_mutex_lock(&e->lock);
+	for (i = 0; i < e->nfd && e->fd[i] != fd; i++)
+		;
+	if (i == e->nfd && e->nfd < CHANNELS)
+		e->fd[e->nfd++] = fd;
+	pthread_mutex_unlock(&e->lock);
 }
 
 static bool
-answer_without_end(struct rig_req *r, const char *id)
+stream(
+    struct rig_req *r, struct engine *e, const char *id, int from, int to)
 {
-	char data[CHUNK];
-	unsigned long long n = 0;
+	char text[128];
+	int i;
 
-	memset(data, 'x', sizeof(data));
 	if (!rig_printf(r->fd,
 		"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n"
-		"Server-Signature: sound-%s\r\n"
+		"Server-Signature: %s\r\nContent-Type: text/event-stream\r\n"
+		"Instance-Load: 1,0,8\r\nWeight-Versions: 1\r\n"
 		"Transfer-Encoding: chunked\r\n\r\n",
-		id, id))
+		id, e->name))
 		return false;
-	while (!stop && rig_chunk(r->fd, data, sizeof(data)))
-		n += sizeof(data);
-	rig_note("order %s: the caller closed after %llu bytes", id, n);
-	return false;
+	for (i = from; i <= to; i++) {
+		rig_sleep(EVENT_S);
+		(void)snprintf(
+		    text, sizeof(text), "id: %d\ndata: %s-%d\n\n", i, id, i);
+		if (e->down || !rig_chunk(r->fd, text, strlen(text)))
+			return false;
+	}
+	return rig_send(r->fd, "0\r\n\r\n", 5);
 }
 
 static bool
 on_engine(struct rig_req *r)
 {
 	struct engine *e = r->arg;
-	char id[64], want[64];
-	struct order *o;
+	char id[32], want[64], last[32];
+	bool ok;
+	int n;
 
-	if (e->state == ENGINE_GONE)
+	if (e->down)
 		return false;
+	remember_channel(e, r->fd);
 	(void)rig_header(r->head, "Request-Id", id, sizeof(id));
 	(void)rig_header(r->head, "Expect-Instance", want, sizeof(want));
+	(void)rig_header(r->head, "Last-Event-Id", last, sizeof(last));
 	if (strcmp(want, e->name) != 0)
 		return rig_printf(r->fd,
 		    "HTTP/1.1 421 -\r\nRequest-Id: %s\r\nNot-Executed: 1\r\n"
 		    "Content-Length: 0\r\n\r\n",
 		    id);
-	o = find_order(id);
-	if (o != NULL && e->state == ENGINE_SOUND)
-		o->run_by_sound = true;
-	rig_sleep(WORK_S);
-	if (e->state == ENGINE_LEAVING) {
-		if (o != NULL)
-			o->run_by_sound = false;
-		rig_note("order %s is at the leaving engine %s", id, e->name);
-		rig_until(e->answer_at);
-		if (e->endless)
-			return answer_without_end(r, id);
-	}
-	return rig_printf(r->fd,
-	    "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Signature: sound-%s"
-	    "\r\nInstance-Load: 1,0,6\r\nContent-Length: 16\r\n\r\n%.16s",
-	    id, id, id);
-}
-
-static void
-publish(struct engine *e, const char *state)
-{
-	char json[512];
-
-	(void)snprintf(json, sizeof(json),
-	    "{\"service\":\"pantry\",\"address\":\"%s\",\"zone\":\"%s\","
-	    "\"version\":\"1\",\"slots\":6,\"state\":\"%s\","
-	    "\"cold_remaining_ms\":0,\"sequence\":%d,\"born\":%lld}",
-	    e->addr, e->zone, state, ++e->sequence, e->born);
-	rig_store_put("servers", e->name, json);
+	n = ++busy;
+	if (n > most_busy)
+		most_busy = n;
+	e->running++;
+	ok = stream(r, e, id, atoi(last) + 1,
+	    strcmp(r->target, "/cure/1") == 0 ? CHECK_EVENTS : EVENTS);
+	e->running--;
+	busy--;
+	return ok;
 }
 
-static void
-start_engine(int i)
+/* The engine that runs the most requests. */
+static struct engine *
+busiest_engine(void)
 {
-	struct engine *e = &engines[i];
+	struct engine *e = &engines[0];
+	int i;
 
-	(void)snprintf(e->name, sizeof(e->name), "i-%08x", 0x5a3c0000 + i);
-	e->zone = zones[i % DAEMONS];
-	e->born = 1700000000000LL + i;
-	e->sequence = 0;
-	(void)rig_serve(e->addr, on_engine, e);
-	publish(e, "ready");
+	for (i = 1; i < ENGINES; i++)
+		if (engines[i].running > e->running)
+			e = &engines[i];
+	return e;
 }
 
-/* The old engine reports that it drains, serves on, and leaves. */
-static void *
-drain_engine(void *arg)
+/* Some daemon of the zone, as its directory names them. */
+static int
+choose_daemon(int zone)
 {
-	struct engine *e = arg;
+	char id[17];
 
-	publish(e, "draining");
-	rig_sleep(DRAIN_S + 0.5);
-	rig_store_remove("servers", e->name);
-	rig_sleep(0.5);
-	e->state = ENGINE_GONE;
-	rig_note("engine %s was replaced and has left", e->name);
-	return NULL;
+	rig_id(id);
+	return zone_first[zone] +
+	       (int)(strtoul(id + 8, NULL, 16) % (unsigned)zone_size[zone]);
 }
 
-/* It serves on for drain_ms and a little longer. */
-static void *
-end_engine(void *arg)
+/* One attempt of a consumer on a new channel.  Returns its status, 0 if there
+ * was no whole answer. */
+static int
+attempt(int at, const char *path, const char *program, const char *previous,
+    const char *input, char id[17], double *retry_after)
 {
-	struct engine *e = arg;
+	char headers[1024], before[64] = "", text[32];
+	struct rig_answer a;
+	int fd = rig_connect(daemons[at].caller), status;
 
-	rig_sleep(DRAIN_S + 0.5);
-	e->state = ENGINE_GONE;
-	return NULL;
+	if (fd < 0)
+		return 0;
+	rig_id(id);
+	if (*previous != '\0')
+		(void)snprintf(before, sizeof(before),
+		    "Previous-Turn: %s\r\n", previous);
+	(void)snprintf(headers, sizeof(headers),
+	    "Request-Id: %s\r\nDeadline-Ms: 3000\r\nModel: m\r\n"
+	    "Program-Id: %s\r\nSession-Id: s%s\r\n"
+	    "Program-Deadline-Ms: %d\r\nToken-Budget: 4624\r\n"
+	    "Token-Usage: 1166,289\r\n%s",
+	    id, program, program, PROGRAM_MS, before);
+	rig_call(fd, "POST", path, headers, input, 4000, &a);
+	status = a.status == 200 && !a.whole ? 0 : a.status;
+	*retry_after = rig_header(a.head, "Retry-After", text, sizeof(text))
+			   ? atof(text)
+			   : 0;
+	rig_answer_clear(&a);
+	(void)close(fd);
+	return status;
 }
 
-/* An engine that never reports draining: its entry is removed and it serves
- * on. */
-static void
-take_away(struct engine *e, bool trouble)
+/* Sends a turn as the pages tell; returns whether it was answered whole. */
+static bool
+send_turn(int zone, const char *program, char previous[17], const char *input)
 {
-	e->endless = trouble;
-	e->answer_at = rig_now() + HOLD_S;
-	e->state = ENGINE_LEAVING;
-	rig_note("engine %s leaves: its entry is removed", e->name);
-	rig_store_remove("servers", e->name);
-	rig_thread(end_engine, e);
-	rig_sleep(HOLD_S + 0.2);
-}
+	bool first = *previous == '\0', judged = judging, reached = false;
+	int send, n, at, status = 0, tries = 0;
+	double retry_after;
+	char id[17], log[256] = "";
 
-static void
-count_answer(struct order *o, const struct rig_answer *a, const char *daemon)
-{
-	if (a->status == 200 && a->whole && memcmp(a->body, o->id, 16) == 0) {
-		answered++;
-	} else if (a->status == 503) {
-		refused++;
-	} else if (a->status != 0) {
-		failed++;
-		rig_note("order %s: %d from %s", o->id, a->status, daemon);
-	} else if (stop) {
-		return; /* the case ends the daemons itself */
-	} else if (o->kept && o->run_by_sound) {
-		lost++;
-		rig_note("order %s: sent on a kept channel to %s, run by a "
-			 "sound engine, and the channel ended without an "
-			 "answer",
-		    o->id, daemon);
-	} else {
-		lost_other++;
-		rig_note("order %s: the channel to %s ended without an answer",
-		    o->id, daemon);
+	for (send = 0; send < SENDS && status != 200 && !stop; send++) {
+		if (send > 0)
+			rig_sleep(0.1 + 0.3 * (double)(id[0] % 4) / 4);
+		for (n = 0; n < ATTEMPTS && status != 200; n++) {
+			at = choose_daemon(zone);
+			status = attempt(at, "/adapt/1", program, previous,
+			    input, id, &retry_after);
+			tries++;
+			(void)snprintf(log + strlen(log),
+			    sizeof(log) - strlen(log), " %d by %s", status,
+			    daemons[at].name);
+			/* Only a refusal promises that no engine had it. */
+			reached |= status != 503 && status != 429;
+			if (status != 503 && status != 429)
+				break;
+			if (status == 503)
+				rig_sleep(
+				    retry_after < 1 ? retry_after : 1);
+		}
 	}
+	if (stop)
+		return false;
+	if (judged && first) {
+		nfirst++;
+		nfirst_reached += reached;
+	} else if (judged) {
+		nturns++;
+		nturns_served += status == 200;
+		nturns_refused += !reached;
+	}
+	if (judged && !first && !reached && tries > TRIES_ALLOWED) {
+		nlost++;
+		rig_note("program %s in %s: the turn \"%s\" after %s reaches "
+			 "no engine in %d tries:%s",
+		    program, zones[zone], input, previous, tries, log);
+	}
+	memcpy(previous, id, 17);
+	return status == 200;
 }
 
 static void *
-client(void *arg)
+converse(void *arg)
 {
-	int at = (int)(intptr_t)arg % DAEMONS, fd = -1, n = 0, i;
-	struct rig_answer a;
-	struct order *o;
-	char headers[128];
+	int client = (int)(intptr_t)arg, zone = client % ZONES, t, n = 0;
+	char program[17], previous[17], input[64];
 
+	rig_sleep(client * 0.05);
 	while (!stop) {
-		if (fd < 0) {
-			fd = rig_connect(daemons[at].caller);
-			n = 0;
-		}
-		if (fd < 0) {
-			at = (at + 1) % DAEMONS;
-			rig_sleep(0.1);
+		rig_id(program);
+		*previous = '\0';
+		(void)snprintf(input, sizeof(input),
+		    "question %d of caller %d", n++, client);
+		if (!send_turn(zone, program, previous, input))
 			continue;
+		for (t = 1; t < TURNS && !stop; t++) {
+			rig_sleep(0.15);
+			if (!send_turn(zone, program, previous,
+				inputs[(client + t + n) % 3]))
+				break;
 		}
-		i = norders++;
-		if (i >= ORDERS)
-			break;
-		o = &orders[i];
-		o->kept = n > 0;
-		rig_id(o->id);
-		(void)snprintf(headers, sizeof(headers),
-		    "Request-Id: %s\r\nDeadline-Ms: 3000\r\n", o->id);
-		rig_call(fd, "POST", "/reprint/1", headers, "one reprint", 4000,
-		    &a);
-		count_answer(o, &a, daemons[at].name);
-		n++;
-		if (a.status == 0 || !a.whole) {
-			(void)close(fd);
-			fd = -1;
-		}
-		rig_answer_clear(&a);
-		rig_sleep(0.02);
 	}
 	return NULL;
 }
 
-static bool
-all_alive(void)
+static void *
+resumable_streams(void *arg)
 {
-	bool all = true;
-	int i;
+	int client = (int)(intptr_t)arg, zone = client % ZONES, n;
+	char program[17], id[17], input[64];
+	double retry_after;
 
-	for (i = 0; i < DAEMONS; i++)
-		all &= rig_daemon_alive(&daemons[i]);
-	return all;
+	rig_sleep(client * 0.03);
+	for (n = 0; !stop; n++) {
+		rig_id(program);
+		(void)snprintf(input, sizeof(input), "check %d of caller %d",
+		    n, client);
+		(void)attempt(choose_daemon(zone), "/cure/1", program, "",
+		    input, id, &retry_after);
+		rig_sleep(0.1);
+	}
+	return NULL;
 }
 
 int
@@ -273,6 +322,8 @@
 {
 	bool trouble = rig_open("record.txt");
 	char store[RIG_ADDR], name[32];
+	struct engine *e;
+	double began;
 	int i;
 
 	if (chdir("../..") != 0)
@@ -280,44 +331,71 @@
 	rig_store_open(store);
 	rig_store_put("op", "config",
 	    "{\"version\":3,\"routes\":[{\"name\":\"r-1\",\"host\":"
-	    "\"case.example\",\"path_prefix\":\"/reprint/\",\"type\":"
-	    "\"unsafe\",\"timeout_ms\":3000,\"target_latency_ms\":500,"
-	    "\"priority\":2,\"service\":\"pantry\",\"max_attempts\":1}],"
-	    "\"services\":[{\"name\":\"pantry\",\"health_path\":\"/healthz\","
-	    "\"max_connections\":100,\"protocol\":\"h1\",\"tls\":false}],"
+	    "\"case.example\",\"path_prefix\":\"/adapt/\",\"type\":"
+	    "\"streaming\",\"timeout_ms\":3000,\"target_latency_ms\":250,"
+	    "\"priority\":1,\"service\":\"smokehouse\",\"max_attempts\":1,"
+	    "\"keeps_history\":true,\"retention_s\":60.0,\"sticky\":true,"
+	    "\"resumable\":false,\"gap_target_ms\":150},{\"name\":\"r-2\","
+	    "\"host\":\"case.example\",\"path_prefix\":\"/cure/\",\"type\":"
+	    "\"streaming\",\"timeout_ms\":3000,\"target_latency_ms\":250,"
+	    "\"priority\":0,\"service\":\"smokehouse\",\"max_attempts\":1,"
+	    "\"keeps_history\":false,\"retention_s\":60.0,\"sticky\":true,"
+	    "\"resumable\":true,\"gap_target_ms\":150}],\"services\":[{"
+	    "\"name\":\"smokehouse\",\"health_path\":\"/healthz\","
+	    "\"max_connections\":140,\"protocol\":\"h1\",\"tls\":false,"
+	    "\"engine\":{\"slots\":8,\"kv_capacity_tokens\":103850,"
+	    "\"chunk_tokens\":17,\"models\":[{\"name\":\"m\"}]}}],"
 	    "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":"
 	    "4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}");
-	for (i = 0; i < ENGINES; i++)
-		start_engine(i);
+	for (i = 0; i < ENGINES; i++) {
+		engines[i].number = i;
+		pthread_mutex_init(&engines[i].lock, NULL);
+		start_engine(&engines[i]);
+	}
 	for (i = 0; i < DAEMONS; i++) {
-		(void)snprintf(name, sizeof(name), "edge-%s-1", zones[i]);
-		rig_daemon_start(&daemons[i], name, zones[i], store, "");
+		(void)snprintf(name, sizeof(name), "edge-%s-%d",
+		    zones[daemon_zone[i]], i - zone_first[daemon_zone[i]] + 1);
+		rig_daemon_start(
+		    &daemons[i], name, zones[daemon_zone[i]], store, "");
 	}
 	rig_daemons_ready(daemons, DAEMONS);
-	for (i = 0; i < CLIENTS; i++)
-		rig_thread(client, (void *)(intptr_t)i);
-	rig_sleep(2.0);
-
-	rig_note("%d engines are replaced and report it", REPLACED);
-	for (i = 0; i < REPLACED; i++) {
-		start_engine(ENGINES + i);
-		rig_sleep(RELEASE_GAP_S / 2);
-		rig_thread(drain_engine, &engines[i]);
+	for (i = 0; i < CONVERSATIONS; i++)
+		rig_thread(converse, (void *)(intptr_t)i);
+	for (i = 0; i < STREAMS; i++)
+		rig_thread(resumable_streams, (void *)(intptr_t)i);
+	began = rig_now();
+	rig_sleep(CRASH_AT_S);
+	do {
+		rig_sleep(0.001);
+		e = busiest_engine();
+	} while (e->running < BUSY_RUNS &&
+		 rig_now() < began + CRASH_AT_S + BUSY_WAIT_S);
+	if (trouble)
+		crash_engine(e);
+	rig_sleep(DOWN_S);
+	if (trouble) {
+		rig_store_remove("servers", e->name);
+		start_engine(e);
+		up_again_at = rig_now();
+		rig_note("the engine is back as %s, %.1f s after its crash",
+		    e->name, up_again_at - crashed_at);
 	}
-	rig_sleep(DRAIN_S + 2.0);
-	if (!all_alive() || answered < 20)
-		rig_exit(RIG_COULD_NOT_RUN);
-	rig_note("%d engines are replaced and don't report it", TROUBLED);
-	for (i = 0; i < TROUBLED && all_alive(); i++) {
-		start_engine(ENGINES + REPLACED + i);
-		rig_sleep(RELEASE_GAP_S);
-		take_away(&engines[ENGINES + REPLACED + i - 1], trouble);
-	}
-	rig_sleep(1.0);
+	rig_sleep(CONTACT_S);
+	most_busy = 0;
+	judging = true;
+	rig_note("from here on turns are judged");
+	rig_sleep(JUDGED_S);
 	stop = true;
-	rig_note("%d answered, %d refused with 503, %d failed, %d lost on kept "
-		 "channels, %d other channels ended",
-	    answered, refused, failed, lost, lost_other);
-	rig_note("all daemons run: %s", all_alive() ? "yes" : "no");
-	rig_exit(lost > LOST_ALLOWED ? RIG_BROKEN : RIG_HELD);
+	rig_sleep(4.0);
+	rig_note("at most %d of %d places at the engines were taken", most_busy,
+	    ENGINES * 8);
+	rig_note("first turns: %d of %d reached an engine", nfirst_reached,
+	    nfirst);
+	rig_note("turns that continue: %d, %d answered whole, %d refused by "
+		 "every daemon tried, %d of them in five tries or more",
+	    nturns, nturns_served, nturns_refused, nlost);
+	if (nfirst < 20 || nturns < 20 || most_busy * 2 >= ENGINES * 8 ||
+	    nfirst_reached * 10 < nfirst * 9)
+		rig_exit(RIG_COULD_NOT_RUN);
+	rig_exit(nlost > 0 ? RIG_BROKEN : RIG_HELD);
 }
--- a/review/3/case.c
+++ b/review/3/case.c
@@ -1,12 +1,14 @@
 /*
- * case.c -- a faulty engine breaks off a stream and spoils its resumption.
+ * case.c -- engines that are being replaced answer without end.
  *
- * Three daemons before nine engines; clients send streams that may be resumed.
- * Five of the engines are faulty: they break off one stream in 70 after its
- * second event, and spoil the answer when it is resumed there: a head without
- * the digest, and an event with bytes that belong to no run.  All other answers
- * are sound.
+ * Three daemons before nine engines of one service; eight clients in each zone
+ * send orders on kept channels all the time.  The engines are replaced one
+ * after the other all the time, too: a new one starts, an old one leaves.  The
+ * first ten report that they drain.  The others don't: their entries are
+ * removed while they still hold requests, which they answer a little later.
+ * With the disruption, the bodies of these last answers never end.
  */
+#include <pthread.h>
 #include <stdatomic.h>
 #include <stdint.h>
 #include <stdio.h>
@@ -18,69 +20,75 @@
 
 #define DAEMONS 3
 #define ENGINES 9
-#define FAULTY 5 /* a share of 0.56; the site's most is 0.6 */
-#define BREAK_EVERY 70 /* two of 71 answers are spoilt: 0.028 of 0.03 */
+#define REPLACED 10
+#define TROUBLED 40
 #define CLIENTS 24
-#define EVENTS 6
-#define RUN_S 25.0
-#define EVENT_S 0.015
-#define WRONG "bytes that no engine signed"
-#define BROKEN_MAX 4096
+#define ORDERS 40000
+#define LOST_ALLOWED 3 /* of the rule */
+#define DRAIN_S 2.0 /* drain_ms */
+#define RELEASE_GAP_S 1.0
+#define HOLD_S 1.0 /* after its entry's removal a leaving engine answers */
+#define CHUNK 16384
+#define WORK_S 0.75
+
+enum engine_state {
+	ENGINE_SOUND,
+	ENGINE_LEAVING, /* holds its answers back until answer_at */
+	ENGINE_GONE
+};
 
 struct engine {
 	char name[24];
 	char addr[RIG_ADDR];
-	bool faulty;
-	_Atomic int answers;
+	const char *zone;
+	_Atomic int state;
+	_Atomic bool endless; /* its answers have no end */
+	double answer_at;
+	int sequence;
+	long long born;
+};
+
+/* An attempt of a client; written by its client and by the engine. */
+struct order {
+	char id[17];
+	bool kept; /* the channel had carried an answer before */
+	_Atomic bool run_by_sound;
 };
 
 static const char *const zones[DAEMONS] = {"duluth", "milwaukee", "toledo"};
 static struct rig_daemon daemons[DAEMONS];
-static struct engine engines[ENGINES];
-static char broken_ids[BROKEN_MAX][17]; /* streams that were broken off */
-static _Atomic int nbroken, nspoilt, nstreams, nright, nwrong, nother;
+static struct engine engines[ENGINES + REPLACED + TROUBLED];
+static struct order orders[ORDERS];
+static _Atomic int norders, answered, refused, failed, lost, lost_other;
 static _Atomic bool stop;
-static bool trouble;
 
-static bool
-was_broken(const char *id)
+static struct order *
+find_order(const char *id)
 {
 	int i;
 
-	for (i = 0; i < nbroken; i++)
-		if (strcmp(broken_ids[i], id) == 0)
-			return true;
-	return false;
+	for (i = norders - 1; i >= 0; i--)
+		if (strcmp(orders[i].id, id) == 0)
+			return &orders[i];
+	return NULL;
 }
 
 static bool
-send_event(int fd, int n, const char *id)
+answer_without_end(struct rig_req *r, const char *id)
 {
-	char text[128];
-
-	(void)snprintf(text, sizeof(text), "id: %d\ndata: %s-%d\n\n", n, id, n);
-	return rig_chunk(fd, text, strlen(text));
-}
+	char data[CHUNK];
+	unsigned long long n = 0;
 
-/* A head without the digest, and an event of no run. */
-static bool
-spoil(struct rig_req *r, const char *id, int n)
-{
-	char text[128];
-
-	nspoilt++;
-	rig_note("stream %s: the engine sends a head without a digest and "
-		 "wrong bytes with the event id %d",
-	    id, n);
-	(void)snprintf(
-	    text, sizeof(text), "id: %d\ndata: %s\n\n", n, WRONG);
-	(void)(rig_printf(r->fd,
-		   "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n"
-		   "Content-Type: text/event-stream\r\n"
-		   "Transfer-Encoding: chunked\r\n\r\n",
-		   id) &&
-	       rig_chunk(r->fd, text, strlen(text)));
-	rig_sleep(EVENT_S);
+	memset(data, 'x', sizeof(data));
+	if (!rig_printf(r->fd,
+		"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n"
+		"Server-Signature: sound-%s\r\n"
+		"Transfer-Encoding: chunked\r\n\r\n",
+		id, id))
+		return false;
+	while (!stop && rig_chunk(r->fd, data, sizeof(data)))
+		n += sizeof(data);
+	rig_note("order %s: the caller closed after %llu bytes", id, n);
 	return false;
 }
 
@@ -88,95 +96,157 @@
 on_engine(struct rig_req *r)
 {
 	struct engine *e = r->arg;
-	char id[32], want[64], last[32];
-	bool cut = false;
-	int i, k, from;
+	char id[64], want[64];
+	struct order *o;
 
+	if (e->state == ENGINE_GONE)
+		return false;
 	(void)rig_header(r->head, "Request-Id", id, sizeof(id));
 	(void)rig_header(r->head, "Expect-Instance", want, sizeof(want));
-	(void)rig_header(r->head, "Last-Event-Id", last, sizeof(last));
 	if (strcmp(want, e->name) != 0)
 		return rig_printf(r->fd,
 		    "HTTP/1.1 421 -\r\nRequest-Id: %s\r\nNot-Executed: 1\r\n"
 		    "Content-Length: 0\r\n\r\n",
 		    id);
-	from = atoi(last) + 1;
-	if (trouble && e->faulty && from == 3 && was_broken(id))
-		return spoil(r, id, from);
-	if (trouble && e->faulty && from == 1 &&
-	    ++e->answers % BREAK_EVERY == 0 && nbroken < BROKEN_MAX) {
-		cut = true;
-		k = nbroken++;
-		memcpy(broken_ids[k], id, 16);
-		rig_note("stream %s: the engine breaks it off", id);
+	o = find_order(id);
+	if (o != NULL && e->state == ENGINE_SOUND)
+		o->run_by_sound = true;
+	rig_sleep(WORK_S);
+	if (e->state == ENGINE_LEAVING) {
+		if (o != NULL)
+			o->run_by_sound = false;
+		rig_note("order %s is at the leaving engine %s", id, e->name);
+		rig_until(e->answer_at);
+		if (e->endless)
+			return answer_without_end(r, id);
 	}
-	rig_sleep(0.02);
-	if (!rig_printf(r->fd,
-		"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n"
-		"Server-Signature: %s\r\nContent-Type: text/event-stream\r\n"
-		"Instance-Load: 1,0,8\r\nWeight-Versions: 1\r\n"
-		"Transfer-Encoding: chunked\r\n\r\n",
-		id, e->name))
-		return false;
-	for (i = from; i <= EVENTS; i++) {
-		if (!send_event(r->fd, i, id) || (cut && i == 2))
-			return false;
-		rig_sleep(EVENT_S);
-	}
-	return rig_send(r->fd, "0\r\n\r\n", 5);
+	return rig_printf(r->fd,
+	    "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Signature: sound-%s"
+	    "\r\nInstance-Load: 1,0,6\r\nContent-Length: 16\r\n\r\n%.16s",
+	    id, id, id);
 }
 
 static void
-check(const char *id, const struct rig_answer *a)
+publish(struct engine *e, const char *state)
 {
-	char want[EVENTS * 64];
-	size_t n = 0;
-	int i;
+	char json[512];
+
+	(void)snprintf(json, sizeof(json),
+	    "{\"service\":\"pantry\",\"address\":\"%s\",\"zone\":\"%s\","
+	    "\"version\":\"1\",\"slots\":6,\"state\":\"%s\","
+	    "\"cold_remaining_ms\":0,\"sequence\":%d,\"born\":%lld}",
+	    e->addr, e->zone, state, ++e->sequence, e->born);
+	rig_store_put("servers", e->name, json);
+}
+
+static void
+start_engine(int i)
+{
+	struct engine *e = &engines[i];
+
+	(void)snprintf(e->name, sizeof(e->name), "i-%08x", 0x5a3c0000 + i);
+	e->zone = zones[i % DAEMONS];
+	e->born = 1700000000000LL + i;
+	e->sequence = 0;
+	(void)rig_serve(e->addr, on_engine, e);
+	publish(e, "ready");
+}
+
+/* The old engine reports that it drains, serves on, and leaves. */
+static void *
+drain_engine(void *arg)
+{
+	struct engine *e = arg;
 
-	for (i = 1; i <= EVENTS; i++)
-		n += (size_t)snprintf(want + n, sizeof(want) - n,
-		    "id: %d\ndata: %s-%d\n\n", i, id, i);
-	nstreams++;
-	if (a->status != 200 || !a->whole) {
-		nother++;
-		if (strstr(a->body, WRONG) != NULL)
-			rig_note("stream %s: incomplete, with bytes that no "
-				 "engine signed",
-			    id);
-	} else if (a->len == n && memcmp(a->body, want, n) == 0) {
-		nright++;
+	publish(e, "draining");
+	rig_sleep(DRAIN_S + 0.5);
+	rig_store_remove("servers", e->name);
+	rig_sleep(0.5);
+	e->state = ENGINE_GONE;
+	rig_note("engine %s was replaced and has left", e->name);
+	return NULL;
+}
+
+/* It serves on for drain_ms and a little longer. */
+static void *
+end_engine(void *arg)
+{
+	struct engine *e = arg;
+
+	rig_sleep(DRAIN_S + 0.5);
+	e->state = ENGINE_GONE;
+	return NULL;
+}
+
+/* An engine that never reports draining: its entry is removed and it serves
+ * on. */
+static void
+take_away(struct engine *e, bool trouble)
+{
+	e->endless = trouble;
+	e->answer_at = rig_now() + HOLD_S;
+	e->state = ENGINE_LEAVING;
+	rig_note("engine %s leaves: its entry is removed", e->name);
+	rig_store_remove("servers", e->name);
+	rig_thread(end_engine, e);
+	rig_sleep(HOLD_S + 0.2);
+}
+
+static void
+count_answer(struct order *o, const struct rig_answer *a, const char *daemon)
+{
+	if (a->status == 200 && a->whole && memcmp(a->body, o->id, 16) == 0) {
+		answered++;
+	} else if (a->status == 503) {
+		refused++;
+	} else if (a->status != 0) {
+		failed++;
+		rig_note("order %s: %d from %s", o->id, a->status, daemon);
+	} else if (stop) {
+		return; /* the case ends the daemons itself */
+	} else if (o->kept && o->run_by_sound) {
+		lost++;
+		rig_note("order %s: sent on a kept channel to %s, run by a "
+			 "sound engine, and the channel ended without an "
+			 "answer",
+		    o->id, daemon);
 	} else {
-		nwrong++;
-		rig_note("stream %s: answered with 200, the digest and a "
-			 "complete body that no engine made: %s",
-		    id, a->body);
+		lost_other++;
+		rig_note("order %s: the channel to %s ended without an answer",
+		    o->id, daemon);
 	}
 }
 
 static void *
 client(void *arg)
 {
-	int at = (int)(intptr_t)arg % DAEMONS, fd = -1;
+	int at = (int)(intptr_t)arg % DAEMONS, fd = -1, n = 0, i;
 	struct rig_answer a;
-	char headers[512], id[17], program[17];
+	struct order *o;
+	char headers[128];
 
 	while (!stop) {
-		if (fd < 0)
+		if (fd < 0) {
 			fd = rig_connect(daemons[at].caller);
-		if (fd < 0)
+			n = 0;
+		}
+		if (fd < 0) {
+			at = (at + 1) % DAEMONS;
+			rig_sleep(0.1);
+			continue;
+		}
+		i = norders++;
+		if (i >= ORDERS)
 			break;
-		rig_id(id);
-		rig_id(program);
+		o = &orders[i];
+		o->kept = n > 0;
+		rig_id(o->id);
 		(void)snprintf(headers, sizeof(headers),
-		    "Request-Id: %s\r\nDeadline-Ms: 3000\r\nModel: m\r\n"
-		    "Program-Id: %s\r\nSession-Id: s%s\r\n"
-		    "Program-Deadline-Ms: 20000\r\nToken-Budget: 2312\r\n"
-		    "Token-Usage: 840,289\r\nPrompt-Prefix: 5c1e07a2:512,%s:328"
-		    "\r\n",
-		    id, program, program, program);
-		rig_call(
-		    fd, "POST", "/cure/1", headers, "ratio?", 4000, &a);
-		check(id, &a);
+		    "Request-Id: %s\r\nDeadline-Ms: 3000\r\n", o->id);
+		rig_call(fd, "POST", "/reprint/1", headers, "one reprint", 4000,
+		    &a);
+		count_answer(o, &a, daemons[at].name);
+		n++;
 		if (a.status == 0 || !a.whole) {
 			(void)close(fd);
 			fd = -1;
@@ -187,41 +257,38 @@
 	return NULL;
 }
 
+static bool
+all_alive(void)
+{
+	bool all = true;
+	int i;
+
+	for (i = 0; i < DAEMONS; i++)
+		all &= rig_daemon_alive(&daemons[i]);
+	return all;
+}
+
 int
 main(void)
 {
-	char store[RIG_ADDR], name[32], json[512];
+	bool trouble = rig_open("record.txt");
+	char store[RIG_ADDR], name[32];
 	int i;
 
-	trouble = rig_open("record.txt");
 	if (chdir("../..") != 0)
 		return RIG_COULD_NOT_RUN;
 	rig_store_open(store);
 	rig_store_put("op", "config",
 	    "{\"version\":3,\"routes\":[{\"name\":\"r-1\",\"host\":"
-	    "\"case.example\",\"path_prefix\":\"/cure/\",\"type\":"
-	    "\"streaming\",\"timeout_ms\":3000,\"target_latency_ms\":250,"
-	    "\"priority\":0,\"service\":\"smokehouse\",\"max_attempts\":1,"
-	    "\"keeps_history\":false,\"retention_s\":60.0,\"sticky\":true,"
-	    "\"resumable\":true,\"gap_target_ms\":150}],\"services\":[{"
-	    "\"name\":\"smokehouse\",\"health_path\":\"/healthz\","
-	    "\"max_connections\":140,\"protocol\":\"h1\",\"tls\":false,"
-	    "\"engine\":{\"slots\":8,\"kv_capacity_tokens\":103850,"
-	    "\"chunk_tokens\":17,\"models\":[{\"name\":\"m\"}]}}],"
+	    "\"case.example\",\"path_prefix\":\"/reprint/\",\"type\":"
+	    "\"unsafe\",\"timeout_ms\":3000,\"target_latency_ms\":500,"
+	    "\"priority\":2,\"service\":\"pantry\",\"max_attempts\":1}],"
+	    "\"services\":[{\"name\":\"pantry\",\"health_path\":\"/healthz\","
+	    "\"max_connections\":100,\"protocol\":\"h1\",\"tls\":false}],"
 	    "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":"
 	    "4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}");
-	for (i = 0; i < ENGINES; i++) {
-		(void)snprintf(engines[i].name, sizeof(engines[i].name),
-		    "i-%08x", 0x5a3c0000 + i);
-		engines[i].faulty = i < FAULTY;
-		(void)rig_serve(engines[i].addr, on_engine, &engines[i]);
-		(void)snprintf(json, sizeof(json),
-		    "{\"service\":\"smokehouse\",\"address\":\"%s\",\"zone\":"
-		    "\"%s\",\"version\":\"1\",\"slots\":8,\"state\":\"ready\","
-		    "\"cold_remaining_ms\":0,\"sequence\":1,\"born\":%lld}",
-		    engines[i].addr, zones[i % DAEMONS], 1700000000000LL + i);
-		rig_store_put("servers", engines[i].name, json);
-	}
+	for (i = 0; i < ENGINES; i++)
+		start_engine(i);
 	for (i = 0; i < DAEMONS; i++) {
 		(void)snprintf(name, sizeof(name), "edge-%s-1", zones[i]);
 		rig_daemon_start(&daemons[i], name, zones[i], store, "");
@@ -229,13 +296,28 @@
 	rig_daemons_ready(daemons, DAEMONS);
 	for (i = 0; i < CLIENTS; i++)
 		rig_thread(client, (void *)(intptr_t)i);
-	rig_sleep(RUN_S);
-	stop = true;
-	rig_sleep(1.0);
-	rig_note("%d streams: %d right, %d incomplete or refused, %d complete "
-		 "with wrong bytes; %d broken off, %d spoilt",
-	    nstreams, nright, nother, nwrong, nbroken, nspoilt);
-	if (nright < 100)
+	rig_sleep(2.0);
+
+	rig_note("%d engines are replaced and report it", REPLACED);
+	for (i = 0; i < REPLACED; i++) {
+		start_engine(ENGINES + i);
+		rig_sleep(RELEASE_GAP_S / 2);
+		rig_thread(drain_engine, &engines[i]);
+	}
+	rig_sleep(DRAIN_S + 2.0);
+	if (!all_alive() || answered < 20)
 		rig_exit(RIG_COULD_NOT_RUN);
-	rig_exit(nwrong > 0 ? RIG_BROKEN : RIG_HELD);
+	rig_note("%d engines are replaced and don't report it", TROUBLED);
+	for (i = 0; i < TROUBLED && all_alive(); i++) {
+		start_engine(ENGINES + REPLACED + i);
+		rig_sleep(RELEASE_GAP_S);
+		take_away(&engines[ENGINES + REPLACED + i - 1], trouble);
+	}
+	rig_sleep(1.0);
+	stop = true;
+	rig_note("%d answered, %d refused with 503, %d failed, %d lost on kept "
+		 "channels, %d other channels ended",
+	    answered, refused, failed, lost, lost_other);
+	rig_note("all daemons run: %s", all_alive() ? "yes" : "no");
+	rig_exit(lost > LOST_ALLOWED ? RIG_BROKEN : RIG_HELD);
 }
