--- a/src/attempt.c
+++ b/src/attempt.c
@@ -385,7 +385,7 @@
 	r.len = mu_buf_len(&c->body) > 0 ? mu_buf_len(&c->body) : c->req.len;
 	r.has_body = c->req.has_body;
 	if (r.headers != NULL)
-		c->exchange = mu_up_start(&x->pool, &r, &hooks);
+		c->exchange = mu_up_start(x->pool, &r, &hooks);
 	mu_buf_clear(&headers);
 	if (c->exchange == NULL) {
 		c->target = NULL;
--- a/src/targets.c
+++ b/src/targets.c
@@ -129,7 +129,7 @@
 {
 	if (x->listed || x->sent > 0)
 		return;
-	mu_up_pool_clear(&x->pool);
+	mu_up_pool_release(x->pool);
 	free(x);
 }
 
@@ -145,7 +145,9 @@
 	x->listed = x->in_new_list = true;
 	x->reported_leaving = has_departed(t, info);
 	x->group = mu_targets_group(t, info->service);
-	mu_up_pool_init(&x->pool, t->loop, info->addr, 0);
+	x->pool = mu_up_pool_new(t->loop, info->addr, 0);
+	if (x->pool == NULL)
+		abort();
 	mu_health_init(&x->health);
 	mu_hmap_add(&t->by_name, &x->node);
 	cds_list_add_tail(&x->in_group, &x->group->targets);
@@ -428,7 +430,7 @@
 		c[n].sent = x->sent;
 		c[n].others = estimate_others(x, now);
 		c[n].slots = x->info.slots;
-		c[n].warm = mu_up_can_reuse(&x->pool);
+		c[n].warm = mu_up_can_reuse(x->pool);
 		c[n].same_domain = strcmp(x->info.domain, t->domain) == 0;
 		c[n].suspect = now < x->suspect_until;
 		c[n].slowdown = mu_pace_slowdown(&x->pace, &g->pace, now);
--- a/src/targets.h
+++ b/src/targets.h
@@ -46,7 +46,7 @@
 	bool reported_leaving; /* by an answer to this daemon */
 	mu_us peer_leaving_until; /* leaving until then by peers' reports */
 	bool lapsed; /* its entry is missing, see mu_targets_keep_lapsed() */
-	struct mu_up_pool pool;
+	struct mu_up_pool *pool;
 	uint32_t sent; /* requests of this daemon in progress there */
 	uint32_t peer_requests; /* of peers, by their heartbeats */
 	double reported_others; /* of other daemons, by its last report */
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -99,36 +99,49 @@
 	return names[end];
 }
 
-void
-mu_up_pool_init(
-    struct mu_up_pool *p, struct mu_loop *l, const char *addr, uint32_t max)
+struct mu_up_pool *
+mu_up_pool_new(struct mu_loop *l, const char *addr, uint32_t max)
 {
-	memset(p, 0, sizeof(*p));
+	struct mu_up_pool *p = calloc(1, sizeof(*p));
+
+	if (p == NULL)
+		return NULL;
 	p->loop = l;
 	p->max_conns = max;
 	p->reuse_limit = REUSE_LIMIT_START_US;
 	strncpy(p->addr, addr, sizeof(p->addr) - 1);
 	CDS_INIT_LIST_HEAD(&p->idle_conns);
+	return p;
+}
+
+static void
+free_if_unused(struct mu_up_pool *p)
+{
+	if (p->released && p->nopen == 0)
+		free(p);
 }
 
 static void
 conn_free(struct mu_up_exchange *x)
 {
+	struct mu_up_pool *p = x->pool;
+
 	if (!x->busy && x->node.next != NULL) {
 		cds_list_del(&x->node);
-		x->pool->nidle--;
+		p->nidle--;
 	}
-	mu_timer_clear(x->pool->loop, &x->timer);
-	mu_watch_del(x->pool->loop, &x->watch);
+	mu_timer_clear(p->loop, &x->timer);
+	mu_watch_del(p->loop, &x->watch);
 	(void)close(x->watch.fd);
-	x->pool->nopen--;
+	p->nopen--;
 	mu_buf_clear(&x->unsent);
 	mu_buf_clear(&x->header_text);
 	free(x);
+	free_if_unused(p);
 }
 
-void
-mu_up_pool_clear(struct mu_up_pool *p)
+static void
+close_idle(struct mu_up_pool *p)
 {
 	struct mu_up_exchange *x, *next;
 
@@ -136,6 +149,14 @@
 		conn_free(x);
 }
 
+void
+mu_up_pool_release(struct mu_up_pool *p)
+{
+	close_idle(p);
+	p->released = true;
+	free_if_unused(p);
+}
+
 /* A reused connection was lost before its answer started. */
 static void
 lower_reuse_limit(struct mu_up_exchange *x)
@@ -178,7 +199,7 @@
 	/* The endpoint may have restarted: the other idle connections are as
 	 * stale. */
 	if (end == MU_UP_ABORTED && !x->answer_started && x->idle_before > 0)
-		mu_up_pool_clear(x->pool);
+		close_idle(x->pool);
 	conn_free(x);
 	if (busy)
 		hooks.end(hooks.arg, end, sent);
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -47,6 +47,7 @@
 	uint64_t total_opened; /* since the pool was initialized */
 	mu_us reuse_limit; /* longest idle time before reuse, learned */
 	struct cds_list_head idle_conns; /* most recently used first */
+	bool released; /* freed when its last connection closes */
 };
 
 struct mu_up_hooks {
@@ -71,10 +72,15 @@
 
 struct mu_up_exchange;
 
-void mu_up_pool_init(
-    struct mu_up_pool *p, struct mu_loop *l, const char *addr, uint32_t max);
-/* Closes idle connections; no exchange may be in progress. */
-void mu_up_pool_clear(struct mu_up_pool *p);
+/* Returns NULL if there is no memory. */
+struct mu_up_pool *
+mu_up_pool_new(struct mu_loop *l, const char *addr, uint32_t max);
+/*
+ * Closes idle connections.  No exchange may be in progress, but this may be
+ * called from a hook of one that has just been cancelled: the pool is freed
+ * with its last connection.
+ */
+void mu_up_pool_release(struct mu_up_pool *p);
 /*
  * Starts an exchange.  Returns NULL, and calls no hook, if the address is
  * invalid, the pool is at its limit or a socket or memory is not available.
--- a/test/test_call.c
+++ b/test/test_call.c
@@ -792,6 +792,29 @@
 		assert_int_equal(other->requests, 8);
 }
 
+/* Guards against a use after free that ended the daemon: an answer without end
+ * from an endpoint whose entry is gone is given up while it is parsed. */
+static void
+test_endless_answer_of_an_unlisted_endpoint(void **state)
+{
+	static const struct kit_step s[] = {
+	    {HEAD("200 OK") "\r\n", false, false}};
+	struct fixture *f = *state;
+	struct kit_endpoint *e = add_endpoint(f, "app", s, 1);
+	struct kit_caller *c;
+
+	wait_until_ready(f);
+	c = kit_caller_open(f->loop, f->addr, ORDER("o1"));
+	assert_true(kit_until(f->loop, 1000, e->requests == 1));
+	mu_targets_remove(&f->serve.targets, "i-0");
+	e->conn[0].endless = "x";
+	mu_watch_set(f->loop, &e->conn[0].watch, EPOLLIN | EPOLLOUT);
+	assert_true(kit_until(f->loop, 2000,
+	    strstr(kit_caller_received(c), "HTTP/1.1 502") != NULL));
+	assert_true(kit_until(f->loop, 500, e->closed_by_peer == 1));
+	kit_caller_free(c);
+}
+
 #define LEAVING "Server-Leaving: 1\r\n"
 
 static void
@@ -1121,6 +1144,7 @@
 	    T(test_turn_without_a_usage_is_whole),
 	    T(test_slow_stream_is_not_cut),
 	    T(test_trickle_ends_in_time),
+	    T(test_endless_answer_of_an_unlisted_endpoint),
 	    T(test_plain_answer_says_leaving),
 	    T(test_failure_says_leaving),
 	    T(test_refusal_says_leaving),
--- a/test/test_upstream.c
+++ b/test/test_upstream.c
@@ -20,8 +20,9 @@
 struct fixture {
 	struct mu_clock clock;
 	struct mu_loop *loop;
-	struct mu_up_pool pool;
+	struct mu_up_pool *pool;
 	struct kit_endpoint *end;
+	struct mu_up_exchange *exchange;
 	unsigned heads, ends;
 	int status;
 	struct mu_buf body;
@@ -45,7 +46,8 @@
 {
 	struct fixture *f = *state;
 
-	mu_up_pool_clear(&f->pool);
+	if (f->pool != NULL)
+		mu_up_pool_release(f->pool);
 	if (f->end != NULL)
 		kit_endpoint_free(f->end);
 	mu_buf_clear(&f->body);
@@ -58,7 +60,7 @@
 start_endpoint(struct fixture *f, const struct kit_step *steps, unsigned n)
 {
 	f->end = kit_endpoint(f->loop, steps, n);
-	mu_up_pool_init(&f->pool, f->loop, f->end->addr, 0);
+	f->pool = mu_up_pool_new(f->loop, f->end->addr, 0);
 }
 
 static bool
@@ -108,7 +110,7 @@
 	    "POST", "/a?b=c", "Request-Id: r1\r\n", "body", 4, true};
 
 	mu_buf_consume(&f->body, mu_buf_len(&f->body));
-	return mu_up_start(&f->pool, &r, &h);
+	return mu_up_start(f->pool, &r, &h);
 }
 
 static void
@@ -177,12 +179,12 @@
 
 	start_endpoint(f, s, 2);
 	run_exchange(f);
-	reuse_limit = f->pool.reuse_limit;
+	reuse_limit = f->pool->reuse_limit;
 	run_exchange(f);
 	assert_int_equal(f->outcome, MU_UP_ABORTED);
 	assert_true(f->sent);
 	assert_int_equal(f->end->requests, 2);
-	assert_true(f->pool.reuse_limit < reuse_limit);
+	assert_true(f->pool->reuse_limit < reuse_limit);
 }
 
 /* An endpoint restarts while several connections to it are idle: one request is
@@ -207,10 +209,10 @@
 	for (i = 0; i < 3; i++)
 		kit_send(f->end->conn[i].watch.fd, OK_KEPT, "r1");
 	assert_true(kit_until(f->loop, 1000, f->ends == 3));
-	assert_int_equal(f->pool.nidle, 3);
+	assert_int_equal(f->pool->nidle, 3);
 	run_exchange(f);
 	assert_int_equal(f->outcome, MU_UP_ABORTED);
-	assert_int_equal(f->pool.nidle, 0);
+	assert_int_equal(f->pool->nidle, 0);
 	run_exchange(f);
 	assert_int_equal(f->outcome, MU_UP_COMPLETE);
 	assert_int_equal(f->end->accepted, 4);
@@ -254,7 +256,7 @@
 	char addr[MU_ADDR_LEN];
 
 	kit_unused_addr(addr);
-	mu_up_pool_init(&f->pool, f->loop, addr, 0);
+	f->pool = mu_up_pool_new(f->loop, addr, 0);
 	run_exchange(f);
 	assert_int_equal(f->outcome, MU_UP_CONNECT_FAILED);
 	assert_false(f->sent);
@@ -308,12 +310,81 @@
 		assert_true(kit_until(
 		    f->loop, 2000, f->end->closed_by_peer == f->end->accepted));
 		kit_run_ms(f->loop, 20);
-		mu_up_pool_clear(&f->pool);
+		mu_up_pool_release(f->pool);
+		f->pool = NULL;
 		kit_endpoint_free(f->end);
 		f->end = NULL;
 	}
 }
 
+/* Cancels the exchange and releases its pool, as when the last request at an
+ * endpoint that is no longer listed is given up. */
+static void
+cancel_and_release(struct fixture *f)
+{
+	struct mu_up_pool *p = f->pool;
+
+	f->pool = NULL;
+	assert_true(mu_up_cancel(f->exchange));
+	mu_up_pool_release(p);
+}
+
+static void
+release_on_head(void *arg, const struct mu_up_head *head)
+{
+	(void)head;
+	cancel_and_release(arg);
+}
+
+static void
+release_on_body(void *arg, const char *data, size_t len)
+{
+	(void)data;
+	(void)len;
+	cancel_and_release(arg);
+}
+
+/* Guards against a use after free that ended the daemon: an answer is given up
+ * while it is parsed, and its pool is released at once. */
+static void
+check_release_while_parsing(struct fixture *f, struct mu_up_hooks *h)
+{
+	static const struct kit_step s[] = {
+	    {OK_KEPT, false, false}, {NULL, false, false}};
+	struct mu_up_req r = {
+	    "POST", "/a", "Request-Id: r1\r\n", "body", 4, true};
+
+	start_endpoint(f, s, 2);
+	run_exchange(f); /* leaves an idle connection */
+	f->end->steps = s;
+	f->end->requests = 0;
+	h->arg = f;
+	h->is_own = is_own;
+	h->end = on_end;
+	f->exchange = mu_up_start(f->pool, &r, h);
+	assert_non_null(f->exchange);
+	assert_true(kit_until(
+	    f->loop, 2000, f->end->closed_by_peer == f->end->accepted));
+	assert_null(f->pool);
+	assert_int_equal(f->ends, 1); /* of the first exchange */
+}
+
+static void
+test_pool_released_from_a_head_hook(void **state)
+{
+	struct mu_up_hooks h = {.head = release_on_head, .body = on_body};
+
+	check_release_while_parsing(*state, &h);
+}
+
+static void
+test_pool_released_from_a_body_hook(void **state)
+{
+	struct mu_up_hooks h = {.head = on_head, .body = release_on_body};
+
+	check_release_while_parsing(*state, &h);
+}
+
 int
 main(void)
 {
@@ -329,6 +400,8 @@
 	    T(test_nobody_listens),
 	    T(test_cancel_says_whether_it_was_sent),
 	    T(test_endless_bytes_end_the_exchange),
+	    T(test_pool_released_from_a_head_hook),
+	    T(test_pool_released_from_a_body_hook),
 #undef T
 	};
 
