--- a/src/attempt.c
+++ b/src/attempt.c
@@ -203,11 +203,12 @@
 		c->first_byte_at = mu_loop_now(c->s->loop);
 		mu_observe(MU_H_FIRST_TEXT, c->first_byte_at - c->arrived);
 	}
+	c->forwarding = c->route->kind == MU_ROUTE_STREAM && c->status == 200 &&
+			c->is_signed;
 	if (c->streaming) /* the caller has the first attempt's head */
 		return;
 	copy_headers(c, head);
-	if (c->route->kind != MU_ROUTE_STREAM || c->status != 200 ||
-	    !c->is_signed)
+	if (!c->forwarding)
 		return;
 	c->streaming = true;
 	mu_in_stream_begin(c->in, c->status, c->headers, c->nheaders);
@@ -261,8 +262,7 @@
 	if (mu_buf_len(&c->answer) + len > MAX_BUFFERED_BYTES ||
 	    mu_buf_add(&c->answer, data, len) != 0)
 		goto fail;
-	if (c->streaming && c->status == 200 &&
-	    mu_sse_feed(&c->sse, data, len, on_event, c) != 0)
+	if (c->forwarding && mu_sse_feed(&c->sse, data, len, on_event, c) != 0)
 		goto fail;
 	return;
 fail:
--- a/src/call_private.h
+++ b/src/call_private.h
@@ -75,7 +75,8 @@
 	int status;
 	bool not_run; /* the endpoint did not run the request */
 	bool is_signed; /* it has the endpoint's digest */
-	bool streaming; /* events are forwarded as they arrive */
+	bool streaming; /* the caller has the head of a stream */
+	bool forwarding; /* this attempt's events go to the caller */
 	struct mu_header headers[MU_UP_HEADERS];
 	size_t nheaders;
 	struct mu_buf answer; /* the buffered body, or an incomplete event */
--- a/test/test_call.c
+++ b/test/test_call.c
@@ -445,6 +445,59 @@
 	kit_caller_free(c);
 }
 
+#define UNSIGNED_CHUNKED \
+	"HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\n" \
+	"Transfer-Encoding: chunked\r\n\r\n"
+#define WRONG_PIECE(n) "15\r\nid: " n "\ndata: wrong " n "\n\n\r\n"
+
+/* A stream breaks off after its second event, the answer to its resumption is
+ * as given, and the next one is sound: the caller gets the endpoint's events
+ * only. */
+static void
+check_spoilt_resumption(struct fixture *f, const struct kit_step *spoilt)
+{
+	const struct kit_step s[] = {
+	    {CHUNKED PIECE("1") PIECE("2"), false, true}, *spoilt,
+	    {CHUNKED PIECE("3") LAST_CHUNK, false, false}};
+	struct kit_endpoint *e = add_endpoint(f, "llm", s, 3);
+	struct kit_caller *c;
+	const char *body;
+
+	wait_until_ready(f);
+	c = call(f, TURN("/check/1", "c1", ""), 3000);
+	body = strstr(kit_caller_received(c), "\r\n\r\n");
+	assert_non_null(body);
+	assert_null(strstr(body, "wrong"));
+	assert_null(strstr(body, "HTTP/1.1"));
+	assert_non_null(strstr(body, "piece 1"));
+	assert_non_null(strstr(body, "piece 3"));
+	assert_non_null(strstr(body, "\r\n0\r\n\r\n"));
+	assert_non_null(strstr(e->last, "Last-Event-Id: 2\r\n"));
+	assert_int_equal(e->requests, 3);
+	kit_caller_free(c);
+}
+
+/* Guards against events without a signature in a resumed stream: the caller got
+ * them under the first attempt's head, in place of the right ones. */
+static void
+test_unsigned_resumption_that_breaks_off(void **state)
+{
+	static const struct kit_step s = {
+	    UNSIGNED_CHUNKED WRONG_PIECE("3"), false, true};
+
+	check_spoilt_resumption(*state, &s);
+}
+
+/* As above; the unsigned answer is complete. */
+static void
+test_unsigned_resumption_that_ends(void **state)
+{
+	static const struct kit_step s = {
+	    UNSIGNED_CHUNKED WRONG_PIECE("3") LAST_CHUNK, false, false};
+
+	check_spoilt_resumption(*state, &s);
+}
+
 /* A stream that may not be resumed ends visibly incomplete for the caller. */
 static void
 test_stream_that_runs_once_is_cut(void **state)
@@ -1128,6 +1181,8 @@
 	    T(test_end_waits_for_the_commit),
 	    T(test_no_commit_no_end),
 	    T(test_stream_is_resumed),
+	    T(test_unsigned_resumption_that_breaks_off),
+	    T(test_unsigned_resumption_that_ends),
 	    T(test_stream_that_runs_once_is_cut),
 	    T(test_caller_that_leaves_stops_the_endpoint),
 	    T(test_program_begins_while_the_store_is_out),
