--- a/src/call.c
+++ b/src/call.c
@@ -25,6 +25,7 @@
 #include "call_private.h"
 #include "log.h"
 #include "metric.h"
+#include "scope.h"
 
 #define MAX_EVENT_BYTES ((size_t)1 << 20)
 /* Longest wait for an unavailable store.  After it the caller is told to retry:
@@ -345,13 +346,17 @@
 static void begin_turn(struct mu_call *c);
 
 /* The previous turn may have been served before customers were configured: it
- * belongs to none and is stored under the caller's own id. */
+ * belongs to none and is stored under the id of a caller without customer. */
 static bool
 continue_unowned_turn(struct mu_call *c)
 {
-	if (c->customer == NULL || c->previous_id == c->req.previous)
+	const char *id = mu_scope_id(c->arena, NULL, c->req.previous);
+
+	if (id == NULL)
+		abort();
+	if (c->customer == NULL || strcmp(c->previous_id, id) == 0)
 		return false;
-	c->previous_id = c->req.previous;
+	c->previous_id = id;
 	begin_turn(c);
 	return true;
 }
--- a/test/test_call.c
+++ b/test/test_call.c
@@ -1115,6 +1115,51 @@
 	assert_non_null(strstr(e->last, "t1piece 1\nt3"));
 }
 
+/* Guards against a caller who names another customer's turn by its stored id
+ * and so continues that customer's conversation. */
+static void
+test_stored_id_of_a_turn_names_no_turn(void **state)
+{
+	static const struct kit_step s[] = {
+	    {CHUNKED PIECE("1") LAST_CHUNK, false, false}};
+	struct fixture *f = *state;
+	struct kit_endpoint *e = add_endpoint(f, "llm", s, 1);
+
+	wait_until_ready(f);
+	expect(f, TURN("/chat/1", "t0", ""), 2000, LAST_CHUNK);
+	configure(f, CUSTOMERS("4", "\"k1\",\"k1b\""), 4);
+	expect(f, KEYED_TURN("t1", "k1", ""), 2000, LAST_CHUNK);
+	expect(f, KEYED_TURN("t2", "k4", "Previous-Turn: @2:c1:t1\r\n"), 2000,
+	    "HTTP/1.1 404");
+	expect(f, KEYED_TURN("t3", "k1b", "Previous-Turn: @2:c1:t1\r\n"), 2000,
+	    "HTTP/1.1 404");
+	expect(f, KEYED_TURN("t4", "k4", "Previous-Turn: @0::t0\r\n"), 2000,
+	    "HTTP/1.1 404");
+	assert_int_equal(e->requests, 2);
+}
+
+/* Customers were removed from the configuration: callers without one don't
+ * reach the turns of the customers of before by their stored ids. */
+static void
+test_stored_id_without_customers(void **state)
+{
+	static const struct kit_step s[] = {
+	    {CHUNKED PIECE("1") LAST_CHUNK, false, false}};
+	struct fixture *f = *state;
+	struct kit_endpoint *e = add_endpoint(f, "llm", s, 1);
+	char later[sizeof(config)];
+
+	wait_until_ready(f);
+	configure(f, CUSTOMERS("4", "\"k1\""), 4);
+	expect(f, KEYED_TURN("t1", "k1", ""), 2000, LAST_CHUNK);
+	memcpy(later, config, sizeof(config));
+	*strchr(later, '3') = '5'; /* its version */
+	configure(f, later, 5);
+	expect(f, TURN("/chat/1", "t2", "Previous-Turn: @2:c1:t1\r\n"), 2000,
+	    "HTTP/1.1 404");
+	assert_int_equal(e->requests, 1);
+}
+
 /* A turn from the time before customers were configured is continued. */
 static void
 test_turn_of_no_customer_continues(void **state)
@@ -1211,6 +1256,8 @@
 	    T(test_old_configuration_judges_no_unknown_key),
 	    T(test_queued_request_is_judged_again),
 	    T(test_turns_belong_to_their_customer),
+	    T(test_stored_id_of_a_turn_names_no_turn),
+	    T(test_stored_id_without_customers),
 	    T(test_turn_of_no_customer_continues),
 	    T(test_rate_limit),
 #undef T
