--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -412,6 +412,51 @@
   assert(message->base.descriptor == &mu__beat__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mu__crash_report__init
+                     (Mu__CrashReport         *message)
+{
+  static const Mu__CrashReport init_value = MU__CRASH_REPORT__INIT;
+  *message = init_value;
+}
+size_t mu__crash_report__get_packed_size
+                     (const Mu__CrashReport *message)
+{
+  assert(message->base.descriptor == &mu__crash_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mu__crash_report__pack
+                     (const Mu__CrashReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mu__crash_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mu__crash_report__pack_to_buffer
+                     (const Mu__CrashReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mu__crash_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mu__CrashReport *
+       mu__crash_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mu__CrashReport *)
+     protobuf_c_message_unpack (&mu__crash_report__descriptor,
+                                allocator, len, data);
+}
+void   mu__crash_report__free_unpacked
+                     (Mu__CrashReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mu__crash_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mu__begin__init
                      (Mu__Begin         *message)
 {
@@ -2204,7 +2249,7 @@
   (ProtobufCMessageInit) mu__endpoint_use__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mu__beat__field_descriptors[8] =
+static const ProtobufCFieldDescriptor mu__beat__field_descriptors[9] =
 {
   {
     "host",
@@ -2287,7 +2332,7 @@
     offsetof(Mu__Beat, suspected),
     NULL,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED | PROTOBUF_C_FIELD_FLAG_DEPRECATED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
@@ -2299,11 +2344,24 @@
     offsetof(Mu__Beat, quarantined),
     NULL,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED | PROTOBUF_C_FIELD_FLAG_DEPRECATED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crashes",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mu__Beat, n_crashes),
+    offsetof(Mu__Beat, crashes),
+    &mu__crash_report__descriptor,
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned mu__beat__field_indices_by_name[] = {
+  8,   /* field[8] = crashes */
   0,   /* field[0] = host */
   1,   /* field[1] = incarnation */
   2,   /* field[2] = leaving */
@@ -2317,7 +2375,7 @@
 {
   { 1, 0 },
   { 6, 4 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor mu__beat__descriptor =
 {
@@ -2327,13 +2385,64 @@
   "Mu__Beat",
   "mu",
   sizeof(Mu__Beat),
-  8,
+  9,
   mu__beat__field_descriptors,
   mu__beat__field_indices_by_name,
   2,  mu__beat__number_ranges,
   (ProtobufCMessageInit) mu__beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor mu__crash_report__field_descriptors[2] =
+{
+  {
+    "fingerprint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mu__CrashReport, fingerprint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "count",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mu__CrashReport, count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mu__crash_report__field_indices_by_name[] = {
+  1,   /* field[1] = count */
+  0,   /* field[0] = fingerprint */
+};
+static const ProtobufCIntRange mu__crash_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor mu__crash_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mu.CrashReport",
+  "CrashReport",
+  "Mu__CrashReport",
+  "mu",
+  sizeof(Mu__CrashReport),
+  2,
+  mu__crash_report__field_descriptors,
+  mu__crash_report__field_indices_by_name,
+  1,  mu__crash_report__number_ranges,
+  (ProtobufCMessageInit) mu__crash_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor mu__begin__field_descriptors[9] =
 {
   {
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -24,6 +24,7 @@
 typedef struct Mu__Config Mu__Config;
 typedef struct Mu__EndpointUse Mu__EndpointUse;
 typedef struct Mu__Beat Mu__Beat;
+typedef struct Mu__CrashReport Mu__CrashReport;
 typedef struct Mu__Begin Mu__Begin;
 typedef struct Mu__Granted Mu__Granted;
 typedef struct Mu__Settle Mu__Settle;
@@ -391,19 +392,36 @@
   size_t n_uses;
   Mu__EndpointUse **uses;
   /*
-   * requests under which one endpoint died
+   * Releases before 2026-12-05 list requests beside which endpoints died; the
+   * same crash counted several times, so they are no longer sent or read.
    */
-  size_t n_suspected;
-  uint64_t *suspected;
-  /*
-   * requests under which several died
-   */
-  size_t n_quarantined;
-  uint64_t *quarantined;
+  size_t n_suspected PROTOBUF_C__DEPRECATED;
+  uint64_t *suspected PROTOBUF_C__DEPRECATED;
+  size_t n_quarantined PROTOBUF_C__DEPRECATED;
+  uint64_t *quarantined PROTOBUF_C__DEPRECATED;
+  size_t n_crashes;
+  Mu__CrashReport **crashes;
 };
 #define MU__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mu__beat__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+
+
+/*
+ * Evidence of the sender that a request crashes endpoints (crashes.h).
+ */
+struct  Mu__CrashReport
+{
+  ProtobufCMessage base;
+  uint64_t fingerprint;
+  /*
+   * of crashes, one after the other
+   */
+  uint32_t count;
+};
+#define MU__CRASH_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mu__crash_report__descriptor) \
+    , 0, 0 }
 
 
 /*
@@ -1096,6 +1114,25 @@
 void   mu__beat__free_unpacked
                      (Mu__Beat *message,
                       ProtobufCAllocator *allocator);
+/* Mu__CrashReport methods */
+void   mu__crash_report__init
+                     (Mu__CrashReport         *message);
+size_t mu__crash_report__get_packed_size
+                     (const Mu__CrashReport   *message);
+size_t mu__crash_report__pack
+                     (const Mu__CrashReport   *message,
+                      uint8_t             *out);
+size_t mu__crash_report__pack_to_buffer
+                     (const Mu__CrashReport   *message,
+                      ProtobufCBuffer     *buffer);
+Mu__CrashReport *
+       mu__crash_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mu__crash_report__free_unpacked
+                     (Mu__CrashReport *message,
+                      ProtobufCAllocator *allocator);
 /* Mu__Begin methods */
 void   mu__begin__init
                      (Mu__Begin         *message);
@@ -1524,6 +1561,9 @@
 typedef void (*Mu__Beat_Closure)
                  (const Mu__Beat *message,
                   void *closure_data);
+typedef void (*Mu__CrashReport_Closure)
+                 (const Mu__CrashReport *message,
+                  void *closure_data);
 typedef void (*Mu__Begin_Closure)
                  (const Mu__Begin *message,
                   void *closure_data);
@@ -1603,6 +1643,7 @@
 extern const ProtobufCMessageDescriptor mu__config__descriptor;
 extern const ProtobufCMessageDescriptor mu__endpoint_use__descriptor;
 extern const ProtobufCMessageDescriptor mu__beat__descriptor;
+extern const ProtobufCMessageDescriptor mu__crash_report__descriptor;
 extern const ProtobufCMessageDescriptor mu__begin__descriptor;
 extern const ProtobufCMessageDescriptor mu__granted__descriptor;
 extern const ProtobufCEnumDescriptor    mu__granted__status__descriptor;
--- a/src/attempt.c
+++ b/src/attempt.c
@@ -25,9 +25,6 @@
 #define OVERDUE_FACTOR 8
 #define OVERDUE_MIN_US (400 * MU_US_PER_MS)
 #define SMOOTHING_DIVISOR 16 /* weight of a new sample: 1/16 */
-/* Requests that an endpoint aborted within this time before it was found dead
- * are suspected of crashing it. */
-#define SUSPECT_WINDOW_US (1500 * MU_US_PER_MS)
 
 /* Ends the call's use of its endpoint and sends queued calls.  took is the time
  * per event, or of a plain answer, for the endpoint's health; 0: unknown. */
@@ -277,35 +274,14 @@
 	mu_call_fail(c, 0, "answer_too_large");
 }
 
-/* The endpoint died: reports the requests that it aborted just before, which
- * may have crashed it, to the quarantine. */
-static void
-report_suspects(struct mu_serve *s, const struct mu_target *x)
-{
-	mu_us now = mu_loop_now(s->loop);
-	uint64_t endpoint = mu_quar_hash_name(x->info.name);
-	unsigned i;
-
-	for (i = 0; i < MU_ABORTED_MAX; i++) {
-		if (x->aborted[i].at == 0 ||
-		    now - x->aborted[i].at > SUSPECT_WINDOW_US ||
-		    mu_quar_attempt_start(
-			&s->quarantine, x->aborted[i].fingerprint, now) != 0)
-			continue;
-		mu_log(MU_LOG_INFO, "call", "suspected", "{s:s,s:I}",
-		    "endpoint", x->info.name, "fingerprint",
-		    (json_int_t)x->aborted[i].fingerprint);
-		mu_quar_attempt_end(&s->quarantine, x->aborted[i].fingerprint,
-		    endpoint, MU_QUAR_ENDPOINT_DIED, now);
-	}
-}
-
 static void
 on_end(void *arg, enum mu_up_end end, bool sent)
 {
 	struct mu_call *c = arg;
 	struct mu_target *x = c->target;
 	mu_us now = mu_loop_now(c->s->loop), took = now - c->sent_at;
+	struct mu_crash_attempt a = {
+	    c->fingerprint, c->known_crashes, c->sent_at, now};
 	enum mu_health_result result = MU_HEALTH_SUCCESS;
 
 	if (end != MU_UP_COMPLETE || c->status >= 500)
@@ -322,18 +298,17 @@
 		    (took - c->group->call_time) / SMOOTHING_DIVISOR;
 	if (end != MU_UP_COMPLETE)
 		mu_log(MU_LOG_WARN, "call", "attempt_failed",
-		    "{s:s,s:s,s:s,s:b,s:I,s:I}", "request", c->req.id,
+		    "{s:s,s:s,s:s,s:b,s:I,s:I,s:I}", "request", c->req.id,
 		    "endpoint", x->info.name, "end", mu_up_end_name(end),
 		    "sent", sent, "events", (json_int_t)c->events, "ms",
-		    (json_int_t)(took / MU_US_PER_MS));
-	/* An endpoint that resets new connections may still be running: no
-	 * request is suspected. */
+		    (json_int_t)(took / MU_US_PER_MS), "fingerprint",
+		    (json_int_t)c->fingerprint);
 	if (end == MU_UP_REJECTED)
 		(void)mu_target_unreachable(x, now);
-	if (end == MU_UP_CONNECT_FAILED && mu_target_unreachable(x, now))
-		report_suspects(c->s, x);
+	if (end == MU_UP_CONNECT_FAILED)
+		mu_target_connect_failed(x, now);
 	if (end == MU_UP_ABORTED && sent)
-		mu_target_record_aborted(x, c->fingerprint, now);
+		mu_target_aborted(x, &a, now);
 	if (sent && !(end == MU_UP_COMPLETE && c->not_run))
 		c->possible_runs++;
 	detach_target(
@@ -396,6 +371,8 @@
 	c->attempts++;
 	c->overdue_reported = false;
 	c->last_event_at = 0;
+	c->known_crashes = mu_crashes_count(
+	    &c->s->crashes, c->fingerprint, mu_loop_now(c->s->loop));
 	c->sent_at = mu_loop_now(c->s->loop);
 	limit = OVERDUE_FACTOR * c->group->first_byte_time;
 	mu_timer_set(c->s->loop, &c->overdue_timer,
--- a/src/call.c
+++ b/src/call.c
@@ -335,6 +335,7 @@
 		mu_call_attempt_aborted(c, "stream_ends_in_event");
 		return;
 	}
+	mu_crashes_completed(&c->s->crashes, c->fingerprint);
 	if (c->streaming && c->route->keeps_history)
 		commit_turn(c);
 	else
@@ -343,6 +344,34 @@
 
 /* Routing, budget and history. */
 
+static void
+set_fingerprint(struct mu_call *c)
+{
+	bool continued = mu_buf_len(&c->body) > 0;
+
+	c->fingerprint = mu_crashes_fingerprint(
+	    c->customer != NULL ? c->customer->name : NULL, c->req.host,
+	    c->req.method, c->req.target,
+	    continued ? mu_buf_data(&c->body) : c->req.body,
+	    continued ? mu_buf_len(&c->body) : c->req.len);
+}
+
+bool
+mu_call_refuse_crashing(struct mu_call *c)
+{
+	uint32_t count = mu_crashes_count(
+	    &c->s->crashes, c->fingerprint, mu_loop_now(c->s->loop));
+
+	if (count < MU_CRASHES_LIMIT)
+		return false;
+	mu_count(MU_M_QUARANTINED, 1);
+	mu_log(MU_LOG_WARN, "call", "crash_refused", "{s:s,s:I,s:i}", "request",
+	    c->req.id, "fingerprint", (json_int_t)c->fingerprint, "crashes",
+	    (int)count);
+	mu_call_fail(c, RETRY_AFTER_OUTAGE_MS, "kills_endpoints");
+	return true;
+}
+
 static void begin_turn(struct mu_call *c);
 
 /* The previous turn may have been served before customers were configured: it
@@ -374,6 +403,23 @@
 	    c, 429, c->limit_retry_ms, "rate_limited_new_program");
 }
 
+/* The turn's budget is reserved: adds its history and sends it. */
+static void
+send_turn(struct mu_call *c)
+{
+	if (c->previous_id != NULL) {
+		if (mu_history_text(c->s->history, c->previous_id, &c->body) !=
+			0 ||
+		    mu_buf_add(&c->body, c->req.body, c->req.len) != 0) {
+			mu_call_end_with_error(c, 503, MU_CALL_RETRY_AFTER_MS,
+			    "history_unavailable");
+			return;
+		}
+		set_fingerprint(c);
+	}
+	mu_call_dispatch(c);
+}
+
 static void
 on_turn_begun(void *arg, enum mu_turn_start_status st)
 {
@@ -387,14 +433,7 @@
 	switch (st) {
 	case MU_START_OK:
 		mu_call_turn_reserved(c);
-		if (c->previous_id != NULL &&
-		    (mu_history_text(c->s->history, c->previous_id, &c->body) !=
-			    0 ||
-			mu_buf_add(&c->body, c->req.body, c->req.len) != 0))
-			mu_call_end_with_error(c, 503, MU_CALL_RETRY_AFTER_MS,
-			    "history_unavailable");
-		else
-			mu_call_dispatch(c);
+		send_turn(c);
 		break;
 	case MU_START_BUDGET_EXHAUSTED:
 		mu_call_end_with_error(c, 402, 0, "budget_exhausted");
@@ -499,32 +538,6 @@
 		: limit;
 }
 
-/* Refuses a request that is quarantined because endpoints crashed while running
- * it; true if it was refused. */
-static bool
-refuse_quarantined(struct mu_call *c)
-{
-	struct mu_quar_decision d;
-	char method_path[MU_NAME_LEN * 3];
-
-	if (c->customer != NULL)
-		(void)snprintf(method_path, sizeof(method_path), "%s %s %s",
-		    c->customer->name, c->req.method, c->req.path);
-	else
-		(void)snprintf(method_path, sizeof(method_path), "%s %s",
-		    c->req.method, c->req.path);
-	c->fingerprint = mu_quar_fingerprint(
-	    method_path, c->req.len > 0 ? c->req.body : "", c->req.len);
-	d = mu_quar_check(
-	    &c->s->quarantine, c->fingerprint, mu_loop_now(c->s->loop));
-	if (d.kind != MU_QUAR_REFUSE)
-		return false;
-	mu_count(MU_M_QUARANTINED, 1);
-	mu_call_end_with_error(
-	    c, 503, RETRY_AFTER_OUTAGE_MS, "kills_endpoints");
-	return true;
-}
-
 void
 mu_call_admitted(struct mu_call *c)
 {
@@ -563,8 +576,12 @@
 	if (!mu_call_identify(c))
 		return;
 	set_deadline(c);
-	if (refuse_quarantined(c))
-		return;
+	/* That of a turn that continues needs its history first. */
+	if (c->req.previous == NULL) {
+		set_fingerprint(c);
+		if (mu_call_refuse_crashing(c))
+			return;
+	}
 	if (c->customer != NULL)
 		mu_call_take_token(c);
 	else
--- a/src/call_private.h
+++ b/src/call_private.h
@@ -48,7 +48,8 @@
 	enum mu_call_state state;
 	bool closed; /* mu_call_closed() was called */
 	unsigned references; /* the request and pending callbacks */
-	uint64_t fingerprint; /* of method, path and body, for the quarantine */
+	uint64_t fingerprint; /* of what the endpoint gets (crashes.h) */
+	uint32_t known_crashes; /* when the current attempt was sent */
 	mu_us arrived;
 	mu_us deadline; /* of the final answer */
 	struct mu_timer deadline_timer;
@@ -109,6 +110,8 @@
  * not be used afterwards. */
 /* Continues a call that its customer's rate limit admits. */
 void mu_call_admitted(struct mu_call *c);
+/* Ends a call whose request crashes endpoints; false if it may be sent. */
+bool mu_call_refuse_crashing(struct mu_call *c);
 /* Releases a reference. */
 void mu_call_unref(struct mu_call *c);
 /* Ends the call with this status and error text. */
--- a/src/callplace.c
+++ b/src/callplace.c
@@ -218,6 +218,8 @@
 			refuse_revoked(c);
 			return true;
 		}
+		if (mu_call_refuse_crashing(c))
+			return true;
 		if (mu_attempt_send(c, targets[choice.index]))
 			return true;
 		mu_call_exclude_endpoint(c, targets[choice.index]->info.name);
--- a/src/serve.c
+++ b/src/serve.c
@@ -235,20 +235,38 @@
 		}
 }
 
-/* Reports the requests that this daemon has seen kill endpoints. */
+/* Reports the requests that this daemon has seen crash endpoints. */
 static void
-fill_quarantine(struct mu_serve *s, Mu__Beat *b)
+fill_crashes(struct mu_serve *s, Mu__Beat *b)
 {
-	mu_us now = mu_loop_now(s->loop);
+	struct mu_crash_report reports[MU_CRASHES_REPORTS_MAX];
+	size_t i, n;
+
+	n = mu_crashes_list(&s->crashes, reports, mu_loop_now(s->loop));
+	b->crashes = n > 0 ? calloc(n, sizeof(Mu__CrashReport *)) : NULL;
+	for (i = 0; b->crashes != NULL && i < n; i++) {
+		b->crashes[i] = malloc(sizeof(Mu__CrashReport));
+		if (b->crashes[i] == NULL)
+			return;
+		mu__crash_report__init(b->crashes[i]);
+		b->crashes[i]->fingerprint = reports[i].fingerprint;
+		b->crashes[i]->count = reports[i].count;
+		b->n_crashes++;
+	}
+}
 
-	b->suspected = calloc(MU_QUAR_DIGEST_MAX, sizeof(uint64_t));
-	b->quarantined = calloc(MU_QUAR_DIGEST_MAX, sizeof(uint64_t));
-	if (b->suspected != NULL)
-		b->n_suspected =
-		    mu_quar_list_suspected(&s->quarantine, b->suspected, now);
-	if (b->quarantined != NULL)
-		b->n_quarantined = mu_quar_list_quarantined(
-		    &s->quarantine, b->quarantined, now);
+static void
+apply_peer_crashes(struct mu_serve *s, const struct mu_peer *p)
+{
+	struct mu_crash_report reports[MU_CRASHES_REPORTS_MAX];
+	size_t n = 0;
+
+	for (; n < p->beat->n_crashes && n < MU_CRASHES_REPORTS_MAX; n++) {
+		reports[n].fingerprint = p->beat->crashes[n]->fingerprint;
+		reports[n].count = p->beat->crashes[n]->count;
+	}
+	mu_crashes_apply(
+	    &s->crashes, mu_hash(p->host), reports, n, mu_loop_now(s->loop));
 }
 
 static void
@@ -261,7 +279,7 @@
 	b->ready = mu_serve_ready(s);
 	b->store_ok = mu_store_direct_available(s->store);
 	fill_endpoint_uses(s, b);
-	fill_quarantine(s, b);
+	fill_crashes(s, b);
 }
 
 /* Adds a peer's requests at endpoints to their load, or removes them. */
@@ -287,9 +305,7 @@
 
 	apply_peer_uses(s, before, false);
 	apply_peer_uses(s, p->beat, true);
-	mu_quar_apply_digest(&s->quarantine, mu_quar_hash_name(p->host),
-	    p->beat->suspected, p->beat->n_suspected, p->beat->quarantined,
-	    p->beat->n_quarantined, mu_loop_now(s->loop));
+	apply_peer_crashes(s, p);
 }
 
 /* Requests of a peer that is down end soon, so they no longer count as load. */
@@ -550,10 +566,11 @@
 	s->seed = mu_seed_new();
 	s->store = mu_store_new(l, backend);
 	if (s->seed == NULL || s->store == NULL ||
-	    mu_quar_init(&s->quarantine, &mu_quar_conf_default) != 0 ||
+	    mu_crashes_init(&s->crashes, &mu_crash_conf_default) != 0 ||
 	    mu_targets_init(
 		&s->targets, l, s->conf.domain, s->conf.incarnation) != 0)
 		goto nomem;
+	s->targets.crashes = &s->crashes;
 	rc = mu_mesh_new(&s->mesh, l, &mc, &hooks, e);
 	if (rc != 0)
 		return rc;
@@ -607,7 +624,7 @@
 	mu_history_free(s->history);
 	mu_reaper_free(s->reaper);
 	mu_targets_clear(&s->targets);
-	mu_quar_fini(&s->quarantine);
+	mu_crashes_fini(&s->crashes);
 	mu_seed_free(s->seed);
 	mu_routes_unref(s->routes);
 }
--- a/src/serve.h
+++ b/src/serve.h
@@ -9,7 +9,6 @@
 #include "bootstrap.h"
 #include "inbound.h"
 #include "limiter.h"
-#include "quarantine.h"
 #include "targets.h"
 
 /* Metadata of an endpoint's answer, decoded from its headers. */
@@ -83,7 +82,7 @@
 	struct mu_seed *seed;
 	mu_us seed_requested_at; /* from a peer; 0: never */
 	struct mu_targets targets;
-	struct mu_quarantine quarantine;
+	struct mu_crashes crashes;
 	struct mu_routes *routes; /* NULL until a configuration is known */
 	bool endpoints_loaded; /* the list has been read, or a seed applied */
 	mu_us opened_at;
--- a/src/targets.c
+++ b/src/targets.c
@@ -30,6 +30,8 @@
 #define PEER_LEAVING_US (2 * MU_US_PER_S)
 /* Decay of an endpoint's load report: duration of a few typical calls. */
 #define LOAD_DECAY_US 1e6
+/* An endpoint that can't be reached within this time of an abort died then. */
+#define CRASH_WINDOW_US (1500 * MU_US_PER_MS)
 #define INITIAL_CALL_US (150 * MU_US_PER_MS) /* start value of averages */
 
 /* Ejections are short because a restarted endpoint is back within seconds, and
@@ -140,6 +142,7 @@
 
 	if (x == NULL)
 		abort();
+	x->owner = t;
 	x->info = *info;
 	x->node.key = x->info.name;
 	x->listed = x->in_new_list = true;
@@ -354,11 +357,42 @@
 	       now >= x->peer_leaving_until;
 }
 
+/* Counts a crash for each request that was aborted when the endpoint died. */
+static void
+report_crash(struct mu_target *x, mu_us now)
+{
+	struct mu_crash_attempt *a;
+	uint32_t count;
+
+	for (a = x->aborted; a < x->aborted + MU_ABORTED_MAX; a++) {
+		if (a->fingerprint == 0)
+			continue;
+		if (now - a->ended <= CRASH_WINDOW_US &&
+		    x->owner->crashes != NULL) {
+			count = mu_crashes_died(x->owner->crashes, a, now);
+			mu_log(MU_LOG_INFO, "targets", "crash_suspected",
+			    "{s:s,s:I,s:i,s:i}", "endpoint", x->info.name,
+			    "fingerprint", (json_int_t)a->fingerprint, "known",
+			    (int)a->known, "crashes", (int)count);
+		}
+		a->fingerprint = 0;
+	}
+}
+
+void
+mu_target_connect_failed(struct mu_target *x, mu_us now)
+{
+	(void)mu_target_unreachable(x, now);
+	report_crash(x, now);
+}
+
 void
-mu_target_record_aborted(struct mu_target *x, uint64_t fingerprint, mu_us now)
+mu_target_aborted(
+    struct mu_target *x, const struct mu_crash_attempt *a, mu_us now)
 {
-	x->aborted[x->next_aborted].fingerprint = fingerprint;
-	x->aborted[x->next_aborted].at = now;
+	if (!x->listed || !takes_new_work(x, now))
+		return; /* it may have ended as planned */
+	x->aborted[x->next_aborted] = *a;
 	x->next_aborted = (x->next_aborted + 1) % MU_ABORTED_MAX;
 }
 
--- a/src/targets.h
+++ b/src/targets.h
@@ -8,6 +8,7 @@
 #include <urcu/list.h>
 
 #include "choose.h"
+#include "crashes.h"
 #include "eject.h"
 #include "hmap.h"
 #include "pace.h"
@@ -28,15 +29,12 @@
 
 struct mu_group;
 
-/* A request that an endpoint aborted.  If the endpoint is unreachable soon
- * after, the request is suspected of having killed it. */
-#define MU_ABORTED_MAX 16
-struct mu_aborted_request {
-	uint64_t fingerprint;
-	mu_us at;
-};
+/* Aborted attempts remembered for each endpoint: about as many as one daemon
+ * has there at a time. */
+#define MU_ABORTED_MAX 32
 
 struct mu_target {
+	struct mu_targets *owner;
 	struct mu_hnode node; /* by name */
 	struct cds_list_head in_group;
 	struct mu_group *group;
@@ -59,7 +57,8 @@
 	mu_us suspect_until; /* cleared when it answers */
 	mu_us unreachable_at; /* last time it was unreachable */
 	unsigned unreachable_count; /* times in short succession */
-	struct mu_aborted_request aborted[MU_ABORTED_MAX];
+	/* Requests that the endpoint aborted; they may have crashed it. */
+	struct mu_crash_attempt aborted[MU_ABORTED_MAX];
 	unsigned next_aborted;
 };
 
@@ -89,6 +88,7 @@
 
 struct mu_targets {
 	struct mu_loop *loop;
+	struct mu_crashes *crashes; /* gets the evidence; may be NULL */
 	char domain[MU_NAME_LEN]; /* of this daemon */
 	struct mu_hmap by_name;
 	struct mu_hmap groups;
@@ -135,9 +135,12 @@
  * off from the endpoint for another down_ms; 0: not at all. */
 void mu_targets_peer_report(struct mu_targets *t, const char *name,
     uint32_t before, uint32_t now, uint32_t down_ms);
-/* Records an aborted request, which may have killed the endpoint. */
-void
-mu_target_record_aborted(struct mu_target *x, uint64_t fingerprint, mu_us now);
+/* The endpoint aborted a request, which may have crashed it. */
+void mu_target_aborted(
+    struct mu_target *x, const struct mu_crash_attempt *a, mu_us now);
+/* No connection could be established: backs off, and counts a crash for each
+ * request that the endpoint aborted just before. */
+void mu_target_connect_failed(struct mu_target *x, mu_us now);
 /* The endpoint is unreachable: backs off.  False if it was backing off. */
 bool mu_target_unreachable(struct mu_target *x, mu_us now);
 /* Requests in progress and queued per concurrency slot of the group; above 1
--- a/test/test_call.c
+++ b/test/test_call.c
@@ -73,6 +73,11 @@
 	struct mu_inbound *in;
 	char addr[MU_ADDR_LEN];
 	char mesh[MU_ADDR_LEN];
+	/* A second daemon, see start_second(). */
+	struct mu_serve serve2;
+	struct mu_inbound *in2;
+	char addr2[MU_ADDR_LEN];
+	char mesh2[MU_ADDR_LEN];
 	struct kit_endpoint *end[NENDPOINTS];
 	unsigned nends;
 };
@@ -83,40 +88,48 @@
 	return mu_serve_may_accept(arg);
 }
 
-static int
-setup(void **state)
+static void
+start_daemon(struct fixture *f, struct mu_serve *s, struct mu_inbound **in,
+    const char *host, char addr[MU_ADDR_LEN], char mesh[MU_ADDR_LEN])
 {
-	struct fixture *f = calloc(1, sizeof(*f));
+	struct mu_store_backend b = mem_backend(f->mem, f->loop);
 	struct mu_in_conf c = {0};
-	struct mu_store_backend b;
 	struct mu_error e = {0};
 
-	mu_clock_real(&f->clock);
-	f->loop = mu_loop_new(&f->clock);
-	f->mem = calloc(1, sizeof(*f->mem));
-	b = mem_backend(f->mem, f->loop);
-	f->mem->ver = 1;
-	mem_put(f->mem, "op", "", "config", config, strlen(config));
-	kit_unused_addr(f->addr);
-	kit_unused_addr(f->mesh);
-	f->serve.adapter = &pf_adapter;
-	f->serve.conf.host = "d1";
-	f->serve.conf.domain = "east";
-	f->serve.conf.incarnation = 77;
-	f->serve.conf.caller_addr = f->addr;
-	f->serve.conf.mesh_addr = f->mesh;
-	f->serve.conf.config_fresh_ms = 5000;
-	f->serve.conf.limit_window_ms = 5000;
-	assert_int_equal(mu_serve_open(&f->serve, f->loop, &b, &e), 0);
-	c.listen = f->addr;
+	kit_unused_addr(addr);
+	kit_unused_addr(mesh);
+	s->adapter = &pf_adapter;
+	s->conf.host = host;
+	s->conf.domain = "east";
+	s->conf.incarnation = 77;
+	s->conf.caller_addr = addr;
+	s->conf.mesh_addr = mesh;
+	s->conf.config_fresh_ms = 5000;
+	s->conf.limit_window_ms = 5000;
+	assert_int_equal(mu_serve_open(s, f->loop, &b, &e), 0);
+	c.listen = addr;
 	c.max_body = 1 << 20;
 	c.max_connections = 100;
 	c.idle_s = 5;
-	c.hooks.arg = &f->serve;
+	c.hooks.arg = s;
 	c.hooks.request = pf_on_caller_request;
 	c.hooks.closed = pf_on_caller_closed;
 	c.hooks.may_accept = may_accept;
-	assert_int_equal(mu_in_open(&f->in, f->loop, &c, &e), 0);
+	assert_int_equal(mu_in_open(in, f->loop, &c, &e), 0);
+}
+
+static int
+setup(void **state)
+{
+	struct fixture *f = calloc(1, sizeof(*f));
+
+	mu_clock_real(&f->clock);
+	f->loop = mu_loop_new(&f->clock);
+	f->mem = calloc(1, sizeof(*f->mem));
+	f->mem->ver = 1;
+	(void)mem_backend(f->mem, f->loop);
+	mem_put(f->mem, "op", "", "config", config, strlen(config));
+	start_daemon(f, &f->serve, &f->in, "d1", f->addr, f->mesh);
 	*state = f;
 	return 0;
 }
@@ -130,8 +143,11 @@
 	f->mem->fault = MEM_HEALTHY;
 	kit_run_ms(f->loop, 200);
 	mu_in_close(f->in);
+	mu_in_close(f->in2);
 	mem_cancel_pending(f->mem);
 	mu_serve_close(&f->serve);
+	if (f->in2 != NULL)
+		mu_serve_close(&f->serve2);
 	for (i = 0; i < f->nends; i++)
 		kit_endpoint_free(f->end[i]);
 	mem_free(f->mem);
@@ -166,12 +182,34 @@
 		f->serve.targets.by_name.count == f->nends));
 }
 
-/* Sends a request and waits up to ms for its whole answer; the result is freed
- * with kit_caller_free(). */
+static unsigned
+peers_up(struct mu_serve *s)
+{
+	struct mu_peer *p;
+	unsigned n = 0;
+
+	cds_list_for_each_entry (p, mu_mesh_peers(s->mesh), node)
+		n += p->up;
+	return n;
+}
+
+/* Starts a second daemon; both know the endpoints and each other. */
+static void
+start_second(struct fixture *f)
+{
+	start_daemon(f, &f->serve2, &f->in2, "d2", f->addr2, f->mesh2);
+	assert_true(kit_until(f->loop, 5000,
+	    mu_serve_ready(&f->serve2) && peers_up(&f->serve) == 1 &&
+		peers_up(&f->serve2) == 1 &&
+		f->serve2.targets.by_name.count == f->nends));
+}
+
+/* Sends a request to a daemon and waits up to ms for its whole answer; the
+ * result is freed with kit_caller_free(). */
 static struct kit_caller *
-call(struct fixture *f, const char *request, int ms)
+call_at(struct fixture *f, const char *addr, const char *request, int ms)
 {
-	struct kit_caller *c = kit_caller_open(f->loop, f->addr, request);
+	struct kit_caller *c = kit_caller_open(f->loop, addr, request);
 
 	(void)kit_until(f->loop, ms,
 	    c->closed ||
@@ -181,6 +219,12 @@
 	return c;
 }
 
+static struct kit_caller *
+call(struct fixture *f, const char *request, int ms)
+{
+	return call_at(f, f->addr, request, ms);
+}
+
 static void
 expect(struct fixture *f, const char *request, int ms, const char *want)
 {
@@ -692,7 +736,7 @@
 	    {PLAIN, false, false}, {NULL, false, true}};
 	static const struct kit_step s[] = {{PLAIN, false, false}};
 	struct fixture *f = *state;
-	uint64_t suspected[MU_QUAR_DIGEST_MAX];
+	struct mu_crash_report suspected[MU_CRASHES_REPORTS_MAX];
 	unsigned i;
 
 	/* Each rejecting endpoint first answers, on a connection that is
@@ -712,11 +756,84 @@
 		expect(f, GET("/look/a", "l"), 2000, "done");
 		kit_run_ms(f->loop, 60);
 	}
-	assert_int_equal(mu_quar_list_suspected(&f->serve.quarantine, suspected,
-			     mu_now(&f->clock)),
+	assert_int_equal(
+	    mu_crashes_list(&f->serve.crashes, suspected, mu_now(&f->clock)),
 	    0);
 }
 
+#define SAID(id, previous, text) \
+	"POST /chat/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: " id \
+	"\r\nProgram-Id: p" id "\r\nToken-Budget: 3000\r\nToken-Usage: " \
+	"10,289\r\nPrevious-Turn: " previous \
+	"\r\nContent-Length: 9\r\n\r\n" text
+
+/* Opens a request at each of the two daemons, which the endpoint runs when it
+ * is killed, and lets both find out that it is gone. */
+static void
+crash_beside(struct fixture *f, struct kit_endpoint *e, const char *first,
+    const char *second)
+{
+	struct kit_caller *c[2] = {kit_caller_open(f->loop, f->addr, first),
+	    kit_caller_open(f->loop, f->addr2, second)};
+	unsigned before = e->requests;
+	int i;
+
+	assert_true(kit_until(f->loop, 2000, e->requests == before + 2));
+	kit_endpoint_kill(e);
+	kit_run_ms(f->loop, 20);
+	for (i = 0; i < 2; i++)
+		kit_caller_free(call_at(f, i == 0 ? f->addr : f->addr2,
+		    strstr(first, "/look/") != NULL
+			? GET("/look/other", "x")
+			: TURN("/check/1", "x1", ""),
+		    1000));
+	kit_run_ms(f->loop, 500); /* two heartbeats */
+	for (i = 0; i < 2; i++)
+		kit_caller_free(c[i]);
+}
+
+/* Guards against turns refused as crashing endpoints because turns of other
+ * conversations with the same input ran beside one crash (review/2). */
+static void
+test_same_input_in_another_conversation_after_a_crash(void **state)
+{
+	static const struct kit_step s[] = {
+	    {CHUNKED PIECE("1") LAST_CHUNK, false, false},
+	    {CHUNKED PIECE("1") LAST_CHUNK, false, false},
+	    {CHUNKED PIECE("1"), false, false}};
+	struct fixture *f = *state;
+	struct kit_endpoint *e = add_endpoint(f, "llm", s, 3);
+
+	wait_until_ready(f);
+	start_second(f);
+	expect(f, TURN("/chat/1", "a0", ""), 2000, LAST_CHUNK);
+	expect(f, TURN("/chat/1", "b0", ""), 2000, LAST_CHUNK);
+	crash_beside(
+	    f, e, SAID("a1", "a0", "yes go on"), SAID("b1", "b0", "yes go on"));
+	(void)add_endpoint(f, "llm", s, 1);
+	wait_until_ready(f);
+	expect(f, TURN("/chat/1", "c0", ""), 2000, LAST_CHUNK);
+	expect(f, SAID("c1", "c0", "yes go on"), 2000, LAST_CHUNK);
+}
+
+/* The same for a page that several callers look up. */
+static void
+test_same_page_after_a_crash(void **state)
+{
+	static const struct kit_step hanging[] = {{NULL, false, false}};
+	static const struct kit_step s[] = {{PLAIN, false, false}};
+	struct fixture *f = *state;
+	struct kit_endpoint *e = add_endpoint(f, "app", hanging, 1);
+
+	wait_until_ready(f);
+	start_second(f);
+	crash_beside(f, e, GET("/look/a", "r1"), GET("/look/a", "r2"));
+	(void)add_endpoint(f, "app", s, 1);
+	wait_until_ready(f);
+	expect(f, GET("/look/a", "r3"), 2000, "done");
+	expect(f, GET("/look/a", "r4"), 2000, "done");
+}
+
 /* The only endpoint has just reset a connection: the request is retried there
  * and not refused. */
 static void
@@ -1240,6 +1357,8 @@
 	    T(test_orders_avoid_rejecting_endpoints),
 	    T(test_overdue_lookup_is_asked_again_where_it_ran),
 	    T(test_rejecting_endpoints_cause_no_quarantine),
+	    T(test_same_input_in_another_conversation_after_a_crash),
+	    T(test_same_page_after_a_crash),
 	    T(test_endpoint_is_tried_when_none_is_known_to_be_up),
 	    T(test_turn_without_a_usage_is_whole),
 	    T(test_slow_stream_is_not_cut),
--- a/test/test_serve.c
+++ b/test/test_serve.c
@@ -334,24 +334,20 @@
 }
 
 static void
-test_killing_request_is_known_to_peers(void **state)
+test_crashing_request_is_known_to_peers(void **state)
 {
 	struct fixture *f = *state;
+	struct mu_crash_attempt a = {.fingerprint = 42};
 	mu_us now = mu_now(&f->clock);
-	int k;
-
-	for (k = 0; k < 2; k++) {
-		assert_int_equal(
-		    mu_quar_attempt_start(&f->daemon[1].quarantine, 42, now),
-		    0);
-		mu_quar_attempt_end(&f->daemon[1].quarantine, 42,
-		    mu_quar_hash_name(k == 0 ? "e1" : "e2"),
-		    MU_QUAR_ENDPOINT_DIED, now);
+
+	for (; a.known < MU_CRASHES_LIMIT; a.known++) {
+		a.started = a.ended = now;
+		(void)mu_crashes_died(&f->daemon[1].crashes, &a, now);
 	}
 	kit_run_ms(f->loop, 500);
 	assert_int_equal(
-	    mu_quar_check(&f->daemon[0].quarantine, 42, mu_now(&f->clock)).kind,
-	    MU_QUAR_REFUSE);
+	    mu_crashes_count(&f->daemon[0].crashes, 42, mu_now(&f->clock)),
+	    MU_CRASHES_LIMIT);
 }
 
 /* A daemon restarted while the store is unavailable to all gets the
@@ -428,7 +424,7 @@
 	    T(test_store_refuses_one_daemon),
 	    T(test_leaving_daemon_is_no_home),
 	    T(test_peers_tell_what_they_have_at_endpoints),
-	    T(test_killing_request_is_known_to_peers),
+	    T(test_crashing_request_is_known_to_peers),
 	    T(test_daemon_starts_without_the_store),
 	    T(test_peer_without_a_link_leaves),
 #undef T
