--- a/src/attempt.c
+++ b/src/attempt.c
@@ -307,7 +307,7 @@
 		(void)mu_target_unreachable(x, now);
 	if (end == MU_UP_CONNECT_FAILED)
 		mu_target_connect_failed(x, now);
-	if (end == MU_UP_ABORTED && sent)
+	if ((end == MU_UP_ABORTED || end == MU_UP_REJECTED) && sent)
 		mu_target_aborted(x, &a, now);
 	if (sent && !(end == MU_UP_COMPLETE && c->not_run))
 		c->possible_runs++;
--- a/src/targets.c
+++ b/src/targets.c
@@ -386,6 +386,14 @@
 	report_crash(x, now);
 }
 
+static void
+on_probe_failed(void *arg)
+{
+	struct mu_target *x = arg;
+
+	mu_target_connect_failed(x, mu_loop_now(x->owner->loop));
+}
+
 void
 mu_target_aborted(
     struct mu_target *x, const struct mu_crash_attempt *a, mu_us now)
@@ -394,6 +402,7 @@
 		return; /* it may have ended as planned */
 	x->aborted[x->next_aborted] = *a;
 	x->next_aborted = (x->next_aborted + 1) % MU_ABORTED_MAX;
+	mu_up_probe(x->pool, on_probe_failed, x);
 }
 
 bool
--- a/src/targets.h
+++ b/src/targets.h
@@ -135,7 +135,8 @@
  * off from the endpoint for another down_ms; 0: not at all. */
 void mu_targets_peer_report(struct mu_targets *t, const char *name,
     uint32_t before, uint32_t now, uint32_t down_ms);
-/* The endpoint aborted a request, which may have crashed it. */
+/* The endpoint aborted a request, which may have crashed it: opens a connection
+ * to find out. */
 void mu_target_aborted(
     struct mu_target *x, const struct mu_crash_attempt *a, mu_us now);
 /* No connection could be established: backs off, and counts a crash for each
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -126,6 +126,8 @@
 {
 	struct mu_up_pool *p = x->pool;
 
+	if (p->probe == x)
+		p->probe = NULL;
 	if (!x->busy && x->node.next != NULL) {
 		cds_list_del(&x->node);
 		p->nidle--;
@@ -153,6 +155,8 @@
 mu_up_pool_release(struct mu_up_pool *p)
 {
 	close_idle(p);
+	if (p->probe != NULL)
+		conn_free(p->probe);
 	p->released = true;
 	free_if_unused(p);
 }
@@ -189,7 +193,8 @@
 fail_exchange(struct mu_up_exchange *x, enum mu_up_end end)
 {
 	struct mu_up_hooks hooks = x->hooks;
-	bool sent = x->sent, busy = x->busy;
+	struct mu_up_pool *p = x->pool;
+	bool sent = x->sent, busy = x->busy, probe = p->probe == x;
 
 	if (end == MU_UP_ABORTED && !x->answer_started)
 		lower_reuse_limit(x);
@@ -203,6 +208,8 @@
 	conn_free(x);
 	if (busy)
 		hooks.end(hooks.arg, end, sent);
+	else if (probe)
+		p->on_unreachable(p->on_unreachable_arg);
 }
 
 static void
@@ -342,27 +349,33 @@
     .on_message_complete = parse_complete,
 };
 
+static void
+keep_idle(struct mu_up_exchange *x)
+{
+	struct mu_up_pool *p = x->pool;
+
+	x->idle_since = mu_loop_now(p->loop);
+	cds_list_add(&x->node, &p->idle_conns);
+	p->nidle++;
+	mu_watch_set(p->loop, &x->watch, EPOLLIN);
+	mu_timer_set(p->loop, &x->timer, x->idle_since + x->idle_limit);
+}
+
 /* The answer is complete: keeps the connection if it can be reused.  clean: no
  * byte followed the answer. */
 static void
 complete_exchange(struct mu_up_exchange *x, bool clean)
 {
 	struct mu_up_hooks hooks = x->hooks;
-	struct mu_up_pool *p = x->pool;
 
 	x->busy = false;
 	x->node.next = NULL;
 	raise_reuse_limit(x);
 	if (clean && mu_buf_len(&x->unsent) == 0 &&
-	    http_should_keep_alive(&x->parser) && x->idle_limit > 0) {
-		x->idle_since = mu_loop_now(p->loop);
-		cds_list_add(&x->node, &p->idle_conns);
-		p->nidle++;
-		mu_watch_set(p->loop, &x->watch, EPOLLIN);
-		mu_timer_set(p->loop, &x->timer, x->idle_since + x->idle_limit);
-	} else {
+	    http_should_keep_alive(&x->parser) && x->idle_limit > 0)
+		keep_idle(x);
+	else
 		conn_free(x);
-	}
 	hooks.end(hooks.arg, MU_UP_COMPLETE, true);
 }
 
@@ -461,6 +474,11 @@
 	}
 	x->connecting = false;
 	mu_timer_clear(x->pool->loop, &x->timer);
+	if (x->pool->probe == x) {
+		x->pool->probe = NULL;
+		x->idle_limit = DEFAULT_IDLE_LIMIT_US;
+		keep_idle(x);
+	}
 	return true;
 }
 
@@ -525,6 +543,16 @@
 	return NULL;
 }
 
+void
+mu_up_probe(struct mu_up_pool *p, void (*on_unreachable)(void *arg), void *arg)
+{
+	if (p->probe != NULL)
+		return;
+	p->on_unreachable = on_unreachable;
+	p->on_unreachable_arg = arg;
+	p->probe = conn_open(p);
+}
+
 bool
 mu_up_can_reuse(struct mu_up_pool *p)
 {
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -48,6 +48,9 @@
 	mu_us reuse_limit; /* longest idle time before reuse, learned */
 	struct cds_list_head idle_conns; /* most recently used first */
 	bool released; /* freed when its last connection closes */
+	struct mu_up_exchange *probe; /* connection of mu_up_probe() */
+	void (*on_unreachable)(void *arg);
+	void *on_unreachable_arg;
 };
 
 struct mu_up_hooks {
@@ -91,6 +94,13 @@
 /* Ends an exchange without calling its end hook and closes the connection.
  * Returns false only if no byte of the request was written to the socket. */
 bool mu_up_cancel(struct mu_up_exchange *x);
+/*
+ * Opens a connection to learn whether the address still accepts any, and keeps
+ * it for later exchanges; on_unreachable is called if it can't be established,
+ * never from within this function.  Does nothing while a probe is in progress.
+ */
+void
+mu_up_probe(struct mu_up_pool *p, void (*on_unreachable)(void *arg), void *arg);
 /* Whether the next exchange would reuse an idle connection. */
 bool mu_up_can_reuse(struct mu_up_pool *p);
 const char *mu_up_end_name(enum mu_up_end end);
--- a/test/test_call.c
+++ b/test/test_call.c
@@ -834,6 +834,40 @@
 	expect(f, GET("/look/a", "r4"), 2000, "done");
 }
 
+/* An order that crashes each endpoint that runs it, sent again and again: two
+ * endpoints are lost, and it is refused by both daemons then.  Other orders go
+ * on. */
+static void
+test_order_that_crashes_endpoints_is_refused(void **state)
+{
+	static const struct kit_step s[] = {{NULL, false, true}};
+	static const struct kit_step sound[] = {{PLAIN, false, false}};
+	struct fixture *f = *state;
+	struct kit_caller *c;
+	unsigned i;
+
+	start_second(f);
+	for (i = 0; i < MU_CRASHES_LIMIT; i++) {
+		struct kit_endpoint *e = add_endpoint(f, "app", s, 1);
+
+		wait_until_ready(f);
+		c = kit_caller_open(f->loop, f->addr, ORDER("o1"));
+		assert_true(kit_until(f->loop, 1000, e->requests == 1));
+		kit_endpoint_kill(e);
+		kit_run_ms(f->loop, 300);
+		assert_non_null(strstr(kit_caller_received(c), "HTTP/1.1 502"));
+		kit_caller_free(c);
+	}
+	(void)add_endpoint(f, "app", sound, 1);
+	wait_until_ready(f);
+	expect(f, ORDER("o9"), 2000, "kills_endpoints");
+	c = call_at(f, f->addr2, ORDER("o9"), 2000);
+	assert_non_null(strstr(kit_caller_received(c), "kills_endpoints"));
+	kit_caller_free(c);
+	expect(f, GET("/look/a", "r1"), 2000, "done");
+	assert_int_equal(f->end[MU_CRASHES_LIMIT]->requests, 1);
+}
+
 /* The only endpoint has just reset a connection: the request is retried there
  * and not refused. */
 static void
@@ -1359,6 +1393,7 @@
 	    T(test_rejecting_endpoints_cause_no_quarantine),
 	    T(test_same_input_in_another_conversation_after_a_crash),
 	    T(test_same_page_after_a_crash),
+	    T(test_order_that_crashes_endpoints_is_refused),
 	    T(test_endpoint_is_tried_when_none_is_known_to_be_up),
 	    T(test_turn_without_a_usage_is_whole),
 	    T(test_slow_stream_is_not_cut),
--- a/test/test_upstream.c
+++ b/test/test_upstream.c
@@ -23,7 +23,7 @@
 	struct mu_up_pool *pool;
 	struct kit_endpoint *end;
 	struct mu_up_exchange *exchange;
-	unsigned heads, ends;
+	unsigned heads, ends, unreachable;
 	int status;
 	struct mu_buf body;
 	enum mu_up_end outcome;
@@ -385,6 +385,62 @@
 	check_release_while_parsing(*state, &h);
 }
 
+static void
+count_unreachable(void *arg)
+{
+	struct fixture *f = arg;
+
+	f->unreachable++;
+}
+
+/* A probe of an endpoint that is up leaves a connection for the next request.
+ */
+static void
+test_probe_is_kept_for_the_next_exchange(void **state)
+{
+	static const struct kit_step s[] = {{OK_KEPT, false, false}};
+	struct fixture *f = *state;
+
+	start_endpoint(f, s, 1);
+	mu_up_probe(f->pool, count_unreachable, f);
+	mu_up_probe(f->pool, count_unreachable, f);
+	assert_true(kit_until(f->loop, 1000, f->pool->nidle == 1));
+	run_exchange(f);
+	assert_int_equal(f->outcome, MU_UP_COMPLETE);
+	assert_int_equal(f->end->accepted, 1);
+	assert_int_equal(f->unreachable, 0);
+}
+
+static void
+test_probe_finds_a_dead_endpoint(void **state)
+{
+	struct fixture *f = *state;
+	char addr[MU_ADDR_LEN];
+
+	kit_unused_addr(addr);
+	f->pool = mu_up_pool_new(f->loop, addr, 0);
+	mu_up_probe(f->pool, count_unreachable, f);
+	assert_int_equal(f->unreachable, 0);
+	assert_true(kit_until(f->loop, 1000, f->unreachable == 1));
+	assert_int_equal(f->pool->nopen, 0);
+}
+
+/* The pool is released while its probe is under way. */
+static void
+test_probe_ends_with_its_pool(void **state)
+{
+	struct fixture *f = *state;
+	char addr[MU_ADDR_LEN];
+
+	kit_unused_addr(addr);
+	f->pool = mu_up_pool_new(f->loop, addr, 0);
+	mu_up_probe(f->pool, count_unreachable, f);
+	mu_up_pool_release(f->pool);
+	f->pool = NULL;
+	kit_run_ms(f->loop, 300);
+	assert_int_equal(f->unreachable, 0);
+}
+
 int
 main(void)
 {
@@ -402,6 +458,9 @@
 	    T(test_endless_bytes_end_the_exchange),
 	    T(test_pool_released_from_a_head_hook),
 	    T(test_pool_released_from_a_body_hook),
+	    T(test_probe_is_kept_for_the_next_exchange),
+	    T(test_probe_finds_a_dead_endpoint),
+	    T(test_probe_ends_with_its_pool),
 #undef T
 	};
 
