--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 	  -Wpointer-arith -Wwrite-strings -Werror
 OPT	= -O2 -g
 PKGS	= liburcu-bp liburcu-cds libprotobuf-c libmicrohttpd libcurl neon \
-	  jansson libcyaml libxxhash libsodium
+	  jansson yajl libcyaml libxxhash libsodium
 CPPFLAGS = -D_GNU_SOURCE -Isrc -Iproto -Iplatform -Itest -Istandin -Itest/fault \
 	  $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
 LDLIBS	= $(shell pkg-config --libs $(PKGS) 2>/dev/null) -llog4c -lhttp_parser -lm -lpthread
@@ -82,7 +82,7 @@
 DEPS	= build-essential pkg-config liburcu-dev libprotobuf-c-dev \
 	  libmicrohttpd-dev libhttp-parser-dev libcurl4-openssl-dev libneon27-dev liblog4c-dev \
 	  libcmocka-dev \
-	  libcyaml-dev libjansson-dev libxxhash-dev libsodium-dev spin \
+	  libcyaml-dev libjansson-dev libyajl-dev libxxhash-dev libsodium-dev spin \
 	  gnuplot-nox libclang-rt-14-dev clang clang-format clang-tidy cppcheck \
 	  valgrind curl jq
 deps:
--- a/test/test_tablestore.c
+++ b/test/test_tablestore.c
@@ -201,6 +201,70 @@
 	pf_store_free(unreachable);
 }
 
+#define ROW(key, value) \
+	"{\"table\":\"servers\",\"part\":\"\",\"key\":\"" key \
+	"\",\"value\":" value ",\"ver\":7}"
+#define DEPTH 3000
+
+/* Reads a list of three rows of which the second is odd. */
+static void
+check_odd_row(struct fixture *f, const char *odd)
+{
+	size_t size = strlen(odd) + 1024;
+	char *text = malloc(size), table[] = "servers";
+	struct kit_step step = {NULL, false, false};
+	Mu__StoreOp op = MU__STORE_OP__INIT;
+	struct pf_store *client;
+	struct kit_endpoint *e;
+	int len;
+
+	len = snprintf(NULL, 0,
+	    "{\"rows\":[" ROW("i-1", "{\"slots\":8}") ",%s," ROW(
+		"i-3", "\"djM=\"") "],\"truncated\":false,\"ver\":9}",
+	    odd);
+	(void)snprintf(text, size,
+	    "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
+	    "{\"rows\":[" ROW("i-1", "{\"slots\":8}") ",%s," ROW(
+		"i-3", "\"djM=\"") "],\"truncated\":false,\"ver\":9}",
+	    len, odd);
+	step.answer = text;
+	e = kit_endpoint(f->loop, &step, 1);
+	client = pf_store_new(f->loop, e->addr);
+	f->backend = pf_store_backend(client);
+	op.kind = MU__STORE_OP__KIND__READ;
+	op.table = table;
+	assert_int_equal(run_op(f, &op, 1000), MU__STORE_RESULT__STATUS__DONE);
+	assert_int_equal(f->rows, 3);
+	assert_int_equal(f->ver, 9);
+	assert_string_equal(f->value, "{\"slots\":8}");
+	pf_store_free(client);
+	kit_endpoint_free(e);
+	free(text);
+}
+
+/* Guards against one odd entry of another writer that kept a daemon from
+ * reading the list of endpoints: deep nesting, or a number out of range. */
+static void
+test_odd_entry_hides_no_other(void **state)
+{
+	static const char *const odd[] = {ROW("i-2", "{\"slots\":1e999}"),
+	    ROW("i-2", "{\"slots\":99999999999999999999}"),
+	    ROW("i-2", "{\"a\":\"\\ud800\"}"),
+	    ROW("i-2", "{\"a\":{\"rows\":[{\"key\":\"x\"}]},\"a\":null}")};
+	char *deep = malloc(2 * DEPTH + 1);
+	char row[2 * DEPTH + 256];
+	size_t i;
+
+	for (i = 0; i < sizeof(odd) / sizeof(*odd); i++)
+		check_odd_row(*state, odd[i]);
+	memset(deep, '[', DEPTH);
+	memset(deep + DEPTH, ']', DEPTH);
+	deep[(size_t)2 * DEPTH] = '\0';
+	(void)snprintf(row, sizeof(row), ROW("i-2", "%s"), deep);
+	check_odd_row(*state, row);
+	free(deep);
+}
+
 int
 main(void)
 {
@@ -210,6 +274,7 @@
 	    T(test_feed),
 	    T(test_statuses),
 	    T(test_no_answer_is_unknown_and_no_connection_is_refused),
+	    T(test_odd_entry_hides_no_other),
 #undef T
 	};
 
