--- a/src/addr.c
+++ b/src/addr.c
@@ -4,6 +4,7 @@
  * Host names are rejected, so that no name lookup can block a request.
  */
 #include <arpa/inet.h>
+#include <ctype.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -18,7 +19,8 @@
 	unsigned long n;
 	size_t len;
 
-	if (colon == NULL)
+	/* strtoul() would take a sign or a space. */
+	if (colon == NULL || !isdigit((unsigned char)colon[1]))
 		return MU_E_BAD_REQUEST;
 	len = (size_t)(colon - addr);
 	if (len == 0 || len >= MU_ADDR_LEN)
--- a/test/test_adapter.c
+++ b/test/test_adapter.c
@@ -55,7 +55,15 @@
 	    "{\"service\":\"llm\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
 	    "\"slots\":8,\"state\":\"resting\",\"sequence\":4}",
 	    "{\"service\":\"llm\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
-	    "\"slots\":8,\"state\":\"ready\"}"};
+	    "\"slots\":8,\"state\":\"ready\"}",
+	    "{\"service\":\"llm\",\"address\":\"10.0.0.1:65616\",\"zone\":"
+	    "\"z\","
+	    "\"slots\":8,\"state\":\"ready\",\"sequence\":4}",
+	    "{\"service\":\"llm\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+	    "\"slots\":4294967296,\"state\":\"ready\",\"sequence\":4}",
+	    "{\"service\":\"llm\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+	    "\"slots\":99999999999999999999,\"state\":\"ready\","
+	    "\"sequence\":4}"};
 	struct mu_target_info t;
 	Mu__StoreRow r;
 	size_t i;
@@ -67,6 +75,17 @@
 	}
 }
 
+/* The key of an entry becomes the value of a header field. */
+static void
+test_endpoint_with_a_line_end_in_its_name(void **state)
+{
+	Mu__StoreRow r = make_row("i-1\r\nTenant: root", VALID_ENDPOINT);
+	struct mu_target_info t;
+
+	(void)state;
+	assert_false(pf_read_endpoint(&r, &t));
+}
+
 /* A row truncated at any byte is rejected as a whole, without a crash. */
 static void
 test_torn_rows(void **state)
@@ -253,6 +272,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_endpoint),
 	    cmocka_unit_test(test_foreign_endpoints),
+	    cmocka_unit_test(test_endpoint_with_a_line_end_in_its_name),
 	    cmocka_unit_test(test_torn_rows),
 	    cmocka_unit_test(test_routes),
 	    cmocka_unit_test(test_unknown_kind_is_refused_whole),
--- a/test/test_error.c
+++ b/test/test_error.c
@@ -81,6 +81,12 @@
 	assert_int_not_equal(mu_addr_parse("localhost:80", ip, &port), 0);
 	assert_int_not_equal(mu_addr_parse("127.0.0.1", ip, &port), 0);
 	assert_int_not_equal(mu_addr_parse("127.0.0.1:0", ip, &port), 0);
+	assert_int_not_equal(mu_addr_parse("127.0.0.1:65536", ip, &port), 0);
+	assert_int_not_equal(mu_addr_parse("127.0.0.1:+80", ip, &port), 0);
+	assert_int_not_equal(mu_addr_parse("127.0.0.1: 80", ip, &port), 0);
+	/* 2 to the power of 64, less 80 */
+	assert_int_not_equal(
+	    mu_addr_parse("127.0.0.1:-18446744073709551536", ip, &port), 0);
 	assert_int_not_equal(mu_addr_parse("127.0.0.1:70000", ip, &port), 0);
 }
 
