Call: no promise that the endpoint didn't make (operators' report)

Reported by operators of another system: a refusal written once more on a kept connection tells callers that a request has not run which an endpoint runs, or it runs at a second one (REFUSED, TWICE).

Not here where the refusal names its request; test_refusal_written_once_more shows it, before and after. Three cases beside it did fail: a refusal without an id on a kept connection, a success without an id there, and the endpoint's own 408, 421, 429 or 503 without Not-Executed, which went to callers as a promise. Each has a test in test_call that fails with the code of before.

Change: upstream tells whether a connection has carried an earlier request, and the owner hook may ask not to keep it. An answer without an id counts only as the first on its connection; after a refusal without one the connection is not used again. What can't be attributed, or promises without Not-Executed, is a failed attempt.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -122,8 +122,14 @@
 		    c->excluded[c->nexcluded++], MU_NAME_LEN, "%s", name);
 }
 
-static bool
-is_own_answer(void *arg, const struct mu_up_head *head)
+/*
+ * Endpoints name the request in each answer.  One that doesn't may be an
+ * earlier answer once more, unless it is the first on its connection.  A
+ * refusal is taken, since no refusal without a name can have come before it:
+ * the connection is not used again after one.
+ */
+static enum mu_up_owner
+answer_owner(void *arg, const struct mu_up_head *head)
 {
 	struct mu_call *c = arg;
 	struct mu_answer_head a = {0};
@@ -131,12 +137,20 @@
 	c->s->adapter->read_answer(head, &a);
 	if (a.leaving)
 		mu_target_reported_leaving(c->target);
-	if (a.request == NULL || strcmp(a.request, c->req.id) == 0)
-		return true;
-	mu_log(MU_LOG_WARN, "call", "foreign_answer", "{s:s,s:s,s:s}",
-	    "request", c->req.id, "answers", a.request, "endpoint",
-	    c->target->info.name);
-	return false;
+	if (a.request != NULL && strcmp(a.request, c->req.id) != 0) {
+		mu_log(MU_LOG_WARN, "call", "foreign_answer", "{s:s,s:s,s:s}",
+		    "request", c->req.id, "answers", a.request, "endpoint",
+		    c->target->info.name);
+		return MU_UP_FOREIGN;
+	}
+	c->is_attributed =
+	    a.request != NULL || !head->reused || a.not_run || a.wrong_endpoint;
+	if (a.request != NULL)
+		return MU_UP_OWN;
+	mu_log(MU_LOG_WARN, "call", "answer_without_id", "{s:s,s:s,s:i,s:b}",
+	    "request", c->req.id, "endpoint", c->target->info.name, "status",
+	    head->status, "reused", head->reused);
+	return MU_UP_OWN_LAST;
 }
 
 static bool
@@ -201,7 +215,7 @@
 		mu_observe(MU_H_FIRST_TEXT, c->first_byte_at - c->arrived);
 	}
 	c->forwarding = c->route->kind == MU_ROUTE_STREAM && c->status == 200 &&
-			c->is_signed;
+			c->is_signed && c->is_attributed;
 	if (c->streaming) /* the caller has the first attempt's head */
 		return;
 	copy_headers(c, head);
@@ -347,7 +361,7 @@
 bool
 mu_attempt_send(struct mu_call *c, struct mu_target *x)
 {
-	struct mu_up_hooks hooks = {c, is_own_answer, on_head, on_body, on_end};
+	struct mu_up_hooks hooks = {c, answer_owner, on_head, on_body, on_end};
 	struct mu_up_req r = {0};
 	struct mu_buf headers = {0};
 	mu_us limit;
--- a/src/call.c
+++ b/src/call.c
@@ -308,6 +308,13 @@
 	    on_committed, k);
 }
 
+/* Callers take these as a promise that the request has not run and will not. */
+static bool
+promises_not_run(int status)
+{
+	return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 void
 mu_call_answer_complete(struct mu_call *c)
 {
@@ -322,10 +329,19 @@
 			mu_call_retry(c);
 		return;
 	}
+	if (!c->is_attributed) {
+		mu_call_attempt_aborted(c, "answer_without_id");
+		return;
+	}
 	if (c->status / 100 == 2 && !c->is_signed) {
 		mu_call_attempt_aborted(c, "answer_without_digest");
 		return;
 	}
+	if (promises_not_run(c->status)) {
+		/* The endpoint doesn't say that it refused the request. */
+		mu_call_attempt_aborted(c, "refusal_without_promise");
+		return;
+	}
 	if (c->streaming && c->status != 200) {
 		mu_call_attempt_aborted(c, "resumed_with_failure");
 		return;
--- a/src/call_private.h
+++ b/src/call_private.h
@@ -76,6 +76,7 @@
 	int status;
 	bool not_run; /* the endpoint did not run the request */
 	bool is_signed; /* it has the endpoint's digest */
+	bool is_attributed; /* it belongs to this request for certain */
 	bool streaming; /* the caller has the head of a stream */
 	bool forwarding; /* this attempt's events go to the caller */
 	struct mu_header headers[MU_UP_HEADERS];
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -74,6 +74,9 @@
 	bool parsing; /* inside http_parser_execute() */
 	bool cancelled; /* while parsing */
 	bool answer_started; /* head of the own answer received */
+	bool used; /* carries or carried an exchange */
+	bool reused; /* carried an earlier exchange */
+	bool last; /* not kept after this exchange */
 	unsigned skipped;
 	mu_us started_at; /* start of the exchange */
 	size_t overhead_bytes; /* received outside the answer's body */
@@ -296,7 +299,9 @@
 {
 	struct mu_up_exchange *x = hp->data;
 	struct mu_header headers[MU_UP_HEADERS];
-	struct mu_up_head head = {hp->status_code, headers, x->nheaders};
+	struct mu_up_head head = {
+	    hp->status_code, x->reused, headers, x->nheaders};
+	enum mu_up_owner owner;
 	size_t i;
 
 	if (hp->status_code / 100 == 1)
@@ -307,7 +312,9 @@
 		headers[i].name = x->header_text.p + x->name_at[i];
 		headers[i].value = x->header_text.p + x->value_at[i];
 	}
-	x->skipping = !x->hooks.is_own(x->hooks.arg, &head);
+	owner = x->hooks.owner(x->hooks.arg, &head);
+	x->skipping = owner == MU_UP_FOREIGN;
+	x->last = owner == MU_UP_OWN_LAST;
 	if (x->skipping)
 		return ++x->skipped > MAX_SKIPPED_ANSWERS ? 1 : 0;
 	read_keep_alive(x, headers, x->nheaders);
@@ -371,7 +378,7 @@
 	x->busy = false;
 	x->node.next = NULL;
 	raise_reuse_limit(x);
-	if (clean && mu_buf_len(&x->unsent) == 0 &&
+	if (clean && !x->last && mu_buf_len(&x->unsent) == 0 &&
 	    http_should_keep_alive(&x->parser) && x->idle_limit > 0)
 		keep_idle(x);
 	else
@@ -585,6 +592,7 @@
 		cds_list_del(&x->node);
 		p->nidle--;
 		mu_timer_clear(p->loop, &x->timer);
+		x->reused = x->used;
 		return x;
 	}
 	return NULL;
@@ -601,7 +609,8 @@
 	if (x == NULL)
 		return NULL;
 	x->hooks = *hooks;
-	x->busy = true;
+	x->busy = x->used = true;
+	x->last = false;
 	x->sent = x->skipping = x->complete = x->answer_started = false;
 	x->skipped = 0;
 	x->overhead_bytes = 0;
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -22,6 +22,7 @@
 
 struct mu_up_head {
 	int status;
+	bool reused; /* the connection has carried an earlier request */
 	const struct mu_header *headers;
 	size_t nheaders;
 };
@@ -53,10 +54,15 @@
 	void *on_unreachable_arg;
 };
 
+enum mu_up_owner {
+	MU_UP_OWN, /* the answer belongs to this request */
+	MU_UP_OWN_LAST, /* it does, and the connection is not used again */
+	MU_UP_FOREIGN /* it belongs to another request: skipped */
+};
+
 struct mu_up_hooks {
 	void *arg;
-	/* Whether the answer belongs to this request; else it is skipped. */
-	bool (*is_own)(void *arg, const struct mu_up_head *head);
+	enum mu_up_owner (*owner)(void *arg, const struct mu_up_head *head);
 	void (*head)(void *arg, const struct mu_up_head *head);
 	void (*body)(void *arg, const char *data, size_t len);
 	/* The exchange has ended and must not be used again.  sent is false
--- a/test/test_adapter.c
+++ b/test/test_adapter.c
@@ -227,7 +227,7 @@
 	static const struct mu_header h[] = {{"request-id", "r1"},
 	    {"Instance-Load", "3,2,8"}, {"Server-Signature", "s"},
 	    {"Not-Executed", "1"}};
-	struct mu_up_head head = {421, h, 4};
+	struct mu_up_head head = {421, false, h, 4};
 	struct mu_answer_head a;
 
 	(void)state;
@@ -238,9 +238,11 @@
 	assert_int_equal(a.running, 3);
 	assert_int_equal(a.waiting, 2);
 	assert_int_equal(a.slots, 8);
-	head.nheaders = 0;
 	head.status = 200;
 	pf_adapter.read_answer(&head, &a);
+	assert_false(a.not_run); /* a success has run */
+	head.nheaders = 0;
+	pf_adapter.read_answer(&head, &a);
 	assert_false(
 	    a.not_run || a.has_digest || a.has_load || a.wrong_endpoint);
 }
--- a/test/test_call.c
+++ b/test/test_call.c
@@ -350,6 +350,92 @@
 	expect(f, ORDER("o2"), 2000, "done");
 }
 
+#define REFUSAL_OF(id) \
+	"HTTP/1.1 503 Busy\r\nRequest-Id: " id "\r\nNot-Executed: 1\r\n" \
+	"Content-Length: 0\r\n\r\n"
+#define REFUSAL_OF_NONE \
+	"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
+/* An endpoint writes an earlier refusal once more on a kept connection, before
+ * the answer to the order that it runs: the caller gets that answer. */
+static void
+test_refusal_written_once_more(void **state)
+{
+	static const struct kit_step s[] = {
+	    {REFUSAL, false, false}, {REFUSAL_OF("o1") PLAIN, false, false}};
+	struct fixture *f = *state;
+	struct kit_endpoint *e = add_endpoint(f, "app", s, 2);
+
+	wait_until_ready(f);
+	expect(f, ORDER("o1"), 2000, "HTTP/1.1 503");
+	kit_run_ms(f->loop, 80); /* backed off */
+	expect(f, ORDER("o2"), 2000, "done");
+	assert_int_equal(e->requests, 2);
+	assert_int_equal(e->accepted, 1);
+}
+
+/* As above; the refusals name no request.  The second one must not reach an
+ * order that the endpoint runs. */
+static void
+test_refusal_without_id_written_once_more(void **state)
+{
+	static const struct kit_step s[] = {
+	    {REFUSAL_OF_NONE, false, false}, {NULL, false, false}};
+	struct fixture *f = *state;
+	struct kit_endpoint *e = add_endpoint(f, "app", s, 2);
+	struct kit_caller *c;
+
+	wait_until_ready(f);
+	expect(f, ORDER("o1"), 2000, "HTTP/1.1 503");
+	kit_run_ms(f->loop, 80); /* backed off */
+	c = kit_caller_open(f->loop, f->addr, ORDER("o2"));
+	assert_true(kit_until(f->loop, 500, e->requests == 2));
+	if (e->accepted == 1) /* on the connection of the first refusal */
+		kit_send(e->conn[0].watch.fd, REFUSAL_OF_NONE, "");
+	kit_send(e->conn[0].watch.fd, PLAIN, "o2");
+	(void)kit_until(
+	    f->loop, 300, strstr(kit_caller_received(c), "HTTP/1.1") != NULL);
+	assert_non_null(strstr(kit_caller_received(c), "done"));
+	kit_caller_free(c);
+}
+
+/* Guards against an earlier success, written once more without an id, taken for
+ * the answer to the next request. */
+static void
+test_success_without_id_on_a_kept_connection(void **state)
+{
+	static const struct kit_step s[] = {{PLAIN, false, false},
+	    {"HTTP/1.1 200 OK\r\nServer-Signature: s1\r\nContent-Length: "
+	     "4\r\n\r\nlast",
+		false, false}};
+	struct fixture *f = *state;
+
+	(void)add_endpoint(f, "app", s, 2);
+	wait_until_ready(f);
+	expect(f, ORDER("o1"), 2000, "done");
+	expect(f, ORDER("o2"), 2000, "HTTP/1.1 502");
+}
+
+/* Guards against a promise that the endpoint didn't make: it answers a request
+ * that it may have run with 503 and doesn't say that it refused it. */
+static void
+test_failure_that_looks_like_a_refusal(void **state)
+{
+	static const struct kit_step s[] = {
+	    {HEAD("503 Oops") "Content-Length: 4\r\n\r\noops", false, false},
+	    {HEAD("429 Oops") "Content-Length: 4\r\n\r\noops", false, false},
+	    {HEAD("200 OK") "Not-Executed: 1\r\nContent-Length: 4\r\n\r\ndone",
+		false, false}};
+	struct fixture *f = *state;
+	struct kit_endpoint *e = add_endpoint(f, "app", s, 3);
+
+	wait_until_ready(f);
+	expect(f, ORDER("o1"), 2000, "HTTP/1.1 502");
+	expect(f, ORDER("o2"), 2000, "HTTP/1.1 502");
+	expect(f, ORDER("o3"), 2000, "done");
+	assert_int_equal(e->requests, 3);
+}
+
 static void
 test_order_runs_once(void **state)
 {
@@ -1370,6 +1456,10 @@
 	    T(test_early_request_waits_for_the_configuration),
 	    T(test_early_request_is_refused_during_a_store_outage),
 	    T(test_not_run_goes_elsewhere),
+	    T(test_refusal_written_once_more),
+	    T(test_refusal_without_id_written_once_more),
+	    T(test_success_without_id_on_a_kept_connection),
+	    T(test_failure_that_looks_like_a_refusal),
 	    T(test_order_runs_once),
 	    T(test_timeout_after_sending_is_no_promise),
 	    T(test_unsigned_success_is_a_failure),
--- a/test/test_upstream.c
+++ b/test/test_upstream.c
@@ -28,6 +28,7 @@
 	struct mu_buf body;
 	enum mu_up_end outcome;
 	bool sent;
+	bool reused; /* as told with the last head */
 };
 
 static int
@@ -63,16 +64,19 @@
 	f->pool = mu_up_pool_new(f->loop, f->end->addr, 0);
 }
 
-static bool
-is_own(void *arg, const struct mu_up_head *head)
+static enum mu_up_owner
+owner(void *arg, const struct mu_up_head *head)
 {
+	struct fixture *f = arg;
 	size_t i;
 
-	(void)arg;
+	f->reused = head->reused;
 	for (i = 0; i < head->nheaders; i++)
 		if (strcasecmp(head->headers[i].name, "Request-Id") == 0)
-			return strcmp(head->headers[i].value, "r1") == 0;
-	return true;
+			return strcmp(head->headers[i].value, "r1") == 0
+				   ? MU_UP_OWN
+				   : MU_UP_FOREIGN;
+	return MU_UP_OWN_LAST;
 }
 
 static void
@@ -105,7 +109,7 @@
 static struct mu_up_exchange *
 start_exchange(struct fixture *f)
 {
-	struct mu_up_hooks h = {f, is_own, on_head, on_body, on_end};
+	struct mu_up_hooks h = {f, owner, on_head, on_body, on_end};
 	struct mu_up_req r = {
 	    "POST", "/a?b=c", "Request-Id: r1\r\n", "body", 4, true};
 
@@ -141,6 +145,26 @@
 	assert_non_null(strstr(f->end->last, "\r\n\r\nbody"));
 }
 
+/* A connection is not kept after an answer that is to be its last. */
+static void
+test_last_answer_ends_the_connection(void **state)
+{
+	static const struct kit_step s[] = {{OK_KEPT, false, false},
+	    {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", false, false},
+	    {OK_KEPT, false, false}};
+	static const bool reused[] = {false, true, false};
+	struct fixture *f = *state;
+	int i;
+
+	start_endpoint(f, s, 3);
+	for (i = 0; i < 3; i++) {
+		run_exchange(f);
+		assert_int_equal(f->outcome, MU_UP_COMPLETE);
+		assert_int_equal(f->reused, reused[i]);
+	}
+	assert_int_equal(f->end->accepted, 2);
+}
+
 /* An answer to an earlier request precedes the exchange's own. */
 static void
 test_foreign_answer_is_skipped(void **state)
@@ -359,7 +383,7 @@
 	f->end->steps = s;
 	f->end->requests = 0;
 	h->arg = f;
-	h->is_own = is_own;
+	h->owner = owner;
 	h->end = on_end;
 	f->exchange = mu_up_start(f->pool, &r, h);
 	assert_non_null(f->exchange);
@@ -447,6 +471,7 @@
 	const struct CMUnitTest tests[] = {
 #define T(t) cmocka_unit_test_setup_teardown(t, setup, teardown)
 	    T(test_connection_is_kept),
+	    T(test_last_answer_ends_the_connection),
 	    T(test_foreign_answer_is_skipped),
 	    T(test_extra_bytes_end_the_connection),
 	    T(test_lost_on_a_kept_connection),
