Stream: the end between events is the parser's to tell; unframed answers tested

Failures, bytes that are no answer, failures without a length, refusals, and resumptions that all fail have tests now; they pass with the code of before, too.

--- a/src/call.c
+++ b/src/call.c
@@ -207,11 +207,15 @@
 	mu_observe(MU_H_CALL, mu_loop_now(c->s->loop) - c->arrived);
 	log_end(c, c->status);
 	release_resources(c);
-	if (c->streaming)
+	if (c->streaming) {
+		/* Bytes after the last event, such as a comment. */
+		mu_in_stream_write(
+		    c->in, mu_buf_data(&c->answer), mu_buf_len(&c->answer));
 		mu_in_stream_end(c->in, true);
-	else
+	} else {
 		mu_in_answer(c->in, c->status, c->headers, c->nheaders,
 		    mu_buf_data(&c->answer), mu_buf_len(&c->answer));
+	}
 }
 
 /* Commit of a turn with history. */
@@ -346,8 +350,7 @@
 		mu_call_attempt_aborted(c, "resumed_with_failure");
 		return;
 	}
-	if (c->streaming && mu_buf_len(&c->answer) > 0) {
-		/* The last event has no end: the stream is incomplete. */
+	if (c->streaming && !mu_sse_at_boundary(&c->sse)) {
 		mu_call_attempt_aborted(c, "stream_ends_in_event");
 		return;
 	}
--- a/src/sse.c
+++ b/src/sse.c
@@ -108,16 +108,27 @@
 	int rc = 0;
 
 	if (s->line.len > 0) {
+		if (*s->line.p != ':') /* a comment */
+			s->in_event = true;
 		rc = process_line(s);
-	} else if (s->has_data) {
+		s->line.len = 0;
+		return rc;
+	}
+	s->in_event = false;
+	if (s->has_data) {
 		rc = on_event(arg, s->data.p, s->data.len);
 		s->data.len = 0;
 		s->has_data = false;
 	}
-	s->line.len = 0;
 	return rc;
 }
 
+bool
+mu_sse_at_boundary(const struct mu_sse *s)
+{
+	return s->line.len == 0 && !s->in_event;
+}
+
 /* Returns the number of bytes before the next CR or LF. */
 static size_t
 line_span(const char *bytes, size_t len)
--- a/src/sse.h
+++ b/src/sse.h
@@ -20,6 +20,7 @@
 	size_t bytes_fed; /* bytes parsed; while on_event runs this includes the
 		       line end that completes the event */
 	bool has_data;
+	bool in_event; /* a field was read since the last blank line */
 	bool after_cr;
 };
 
@@ -32,6 +33,9 @@
  */
 int mu_sse_feed(struct mu_sse *s, const char *bytes, size_t len,
     int (*on_event)(void *arg, const char *data, size_t len), void *arg);
+/* Whether the input so far ends between two events: a stream that ends
+ * elsewhere was broken off. */
+bool mu_sse_at_boundary(const struct mu_sse *s);
 void mu_sse_clear(struct mu_sse *s);
 
 #endif
--- a/test/test_call.c
+++ b/test/test_call.c
@@ -628,6 +628,212 @@
 	check_spoilt_resumption(*state, &s);
 }
 
+/* The answer to a resumption is an error: its text must not stand in the
+ * caller's stream. */
+static void
+test_resumption_answered_with_a_failure(void **state)
+{
+	static const struct kit_step s = {
+	    HEAD("500 wrong") "Content-Type: "
+			      "text/event-stream\r\nContent-Length: 21\r\n\r\n"
+			      "id: 3\ndata: wrong 3\n\n",
+	    false, false};
+
+	check_spoilt_resumption(*state, &s);
+}
+
+static void
+test_resumption_answered_with_no_answer(void **state)
+{
+	static const struct kit_step s = {
+	    "id: 3\ndata: wrong 3\n\n\r\n\r\n", false, false};
+
+	check_spoilt_resumption(*state, &s);
+}
+
+static void
+test_resumption_answered_without_length(void **state)
+{
+	static const struct kit_step s = {
+	    HEAD("502 wrong") "\r\nwrong\n\nwrong", true, false};
+
+	check_spoilt_resumption(*state, &s);
+}
+
+/* Every resumption is refused or fails: the caller's stream is broken off where
+ * it stands. */
+static void
+check_stream_that_cannot_go_on(
+    struct fixture *f, const struct kit_step *after, unsigned requests)
+{
+	const struct kit_step s[] = {
+	    {CHUNKED PIECE("1") PIECE("2"), false, true}, *after};
+	struct kit_endpoint *e = add_endpoint(f, "llm", s, 2);
+	struct kit_caller *c;
+	const char *body;
+
+	wait_until_ready(f);
+	c = call(f, TURN("/check/1", "c1", ""), 3000);
+	body = strstr(kit_caller_received(c), "\r\n\r\n");
+	assert_non_null(body);
+	assert_true(c->closed);
+	assert_non_null(strstr(body, "piece 2"));
+	assert_null(strstr(body, "wrong"));
+	assert_null(strstr(body, "error"));
+	assert_null(strstr(body, "HTTP/1.1"));
+	assert_null(strstr(body, "\r\n0\r\n"));
+	assert_int_equal(e->requests, requests);
+	kit_caller_free(c);
+}
+
+static void
+test_resumptions_that_all_fail(void **state)
+{
+	static const struct kit_step s = {
+	    HEAD("500 wrong") "Content-Length: 5\r\n\r\nwrong", false, false};
+
+	check_stream_that_cannot_go_on(*state, &s, 3);
+}
+
+static void
+test_resumption_that_is_refused(void **state)
+{
+	static const struct kit_step s = {
+	    "HTTP/1.1 503 wrong\r\nRequest-Id: $ID\r\nNot-Executed: 1\r\n"
+	    "Content-Length: 5\r\n\r\nwrong",
+	    false, false};
+
+	check_stream_that_cannot_go_on(*state, &s, 2);
+}
+
+#define UNFRAMED HEAD("200 OK") "\r\n"
+
+/* Answers without length and chunks end with their connection. */
+static void
+test_unframed_answers(void **state)
+{
+	static const struct kit_step s[] = {{UNFRAMED "done", true, false},
+	    {UNFRAMED "done", true, false},
+	    {HEAD("500 Oops") "\r\nfailed", true, false},
+	    {UNFRAMED "done", false, true}};
+	struct fixture *f = *state;
+	struct kit_endpoint *e = add_endpoint(f, "app", s, 4);
+
+	wait_until_ready(f);
+	expect(f, ORDER("o1"), 2000, "\r\n\r\ndone");
+	expect(f, ORDER("o2"), 2000, "\r\n\r\ndone");
+	expect(f, ORDER("o3"), 2000, "\r\n\r\nfailed");
+	assert_int_equal(e->accepted, 3); /* one connection each */
+	expect(f, ORDER("o4"), 2000, "HTTP/1.1 502"); /* reset */
+	assert_int_equal(e->requests, 4);
+}
+
+/* The endpoint has written its refusal whole and doesn't reset: it holds. */
+static void
+test_unframed_refusal(void **state)
+{
+	static const struct kit_step s[] = {
+	    {"HTTP/1.1 503 Busy\r\nRequest-Id: $ID\r\nNot-Executed: 1\r\n"
+	     "\r\nbusy",
+		true, false},
+	    {"HTTP/1.1 503 Busy\r\nRequest-Id: $ID\r\nNot-Executed: 1\r\n"
+	     "\r\nbusy",
+		false, true}};
+	struct fixture *f = *state;
+
+	(void)add_endpoint(f, "app", s, 2);
+	wait_until_ready(f);
+	expect(f, ORDER("o1"), 2000, "HTTP/1.1 503");
+	kit_run_ms(f->loop, 80);
+	expect(f, ORDER("o2"), 2000, "HTTP/1.1 502");
+}
+
+static void
+test_unframed_stream(void **state)
+{
+	static const struct kit_step s[] = {
+	    {UNFRAMED EVENT("1") EVENT("2"), true, false}};
+	struct fixture *f = *state;
+	struct kit_endpoint *e = add_endpoint(f, "llm", s, 1);
+	struct kit_caller *c;
+
+	wait_until_ready(f);
+	c = call(f, TURN("/chat/1", "t1", ""), 2000);
+	assert_non_null(strstr(kit_caller_received(c), "data: piece2\n\n"));
+	assert_non_null(strstr(kit_caller_received(c), "\r\n0\r\n\r\n"));
+	kit_caller_free(c);
+	expect(f, TURN("/chat/1", "t2", "Previous-Turn: t1\r\n"), 2000,
+	    LAST_CHUNK);
+	assert_non_null(strstr(e->last, "t1piece1\npiece2\nt2"));
+	assert_int_equal(e->accepted, 2);
+}
+
+/* It ends within an event: broken off, however the connection is closed. */
+static void
+test_unframed_stream_that_ends_in_an_event(void **state)
+{
+	static const struct kit_step s[] = {
+	    {UNFRAMED EVENT("1") "id: 2\ndata: piece2\n", true, false},
+	    {UNFRAMED EVENT("2") "id: 3\n", true, false},
+	    {UNFRAMED EVENT("3"), true, false}};
+	struct fixture *f = *state;
+	struct kit_endpoint *e = add_endpoint(f, "llm", s, 3);
+	struct kit_caller *c;
+
+	wait_until_ready(f);
+	c = call(f, TURN("/check/1", "c1", ""), 3000);
+	assert_non_null(strstr(kit_caller_received(c), "data: piece1\n\n"));
+	assert_non_null(strstr(kit_caller_received(c), "data: piece2\n\n"));
+	assert_non_null(strstr(kit_caller_received(c), "data: piece3\n\n"));
+	assert_non_null(strstr(kit_caller_received(c), "\r\n0\r\n\r\n"));
+	assert_non_null(strstr(e->last, "Last-Event-Id: 2\r\n"));
+	assert_int_equal(e->requests, 3);
+	kit_caller_free(c);
+}
+
+/* A turn that may not be resumed: cut, and it was never said. */
+static void
+test_unframed_turn_that_ends_in_an_event(void **state)
+{
+	static const struct kit_step s[] = {
+	    {UNFRAMED EVENT("1") "id: 2\ndata: pie", true, false},
+	    {UNFRAMED EVENT("1"), false, true}};
+	struct fixture *f = *state;
+	struct kit_endpoint *e = add_endpoint(f, "llm", s, 2);
+	struct kit_caller *c;
+	int i;
+
+	wait_until_ready(f);
+	for (i = 1; i <= 2; i++) {
+		c = call(f, TURN("/chat/1", "t1", ""), 2000);
+		assert_true(c->closed);
+		assert_null(strstr(kit_caller_received(c), "\r\n0\r\n\r\n"));
+		kit_caller_free(c);
+		assert_int_equal(e->requests, i);
+	}
+	expect(f, TURN("/chat/1", "t2", "Previous-Turn: t1\r\n"), 2000,
+	    "HTTP/1.1 404");
+}
+
+/* Guards against streams whose lines end in CR LF: they were never complete,
+ * and their turns were lost. */
+static void
+test_stream_with_cr_lf(void **state)
+{
+	static const struct kit_step s[] = {
+	    {UNFRAMED "id: 1\r\ndata: piece1\r\n\r\n: end\r\n", true, false}};
+	struct fixture *f = *state;
+	struct kit_caller *c;
+
+	(void)add_endpoint(f, "llm", s, 1);
+	wait_until_ready(f);
+	c = call(f, TURN("/chat/1", "t1", ""), 2000);
+	assert_non_null(strstr(kit_caller_received(c), "data: piece1\r\n"));
+	assert_non_null(strstr(kit_caller_received(c), ": end\r\n"));
+	assert_non_null(strstr(kit_caller_received(c), "\r\n0\r\n\r\n"));
+	kit_caller_free(c);
+}
+
 /* A stream that may not be resumed ends visibly incomplete for the caller. */
 static void
 test_stream_that_runs_once_is_cut(void **state)
@@ -1469,6 +1675,17 @@
 	    T(test_stream_is_resumed),
 	    T(test_unsigned_resumption_that_breaks_off),
 	    T(test_unsigned_resumption_that_ends),
+	    T(test_resumption_answered_with_a_failure),
+	    T(test_resumption_answered_with_no_answer),
+	    T(test_resumption_answered_without_length),
+	    T(test_resumptions_that_all_fail),
+	    T(test_resumption_that_is_refused),
+	    T(test_unframed_answers),
+	    T(test_unframed_refusal),
+	    T(test_unframed_stream),
+	    T(test_unframed_stream_that_ends_in_an_event),
+	    T(test_unframed_turn_that_ends_in_an_event),
+	    T(test_stream_with_cr_lf),
 	    T(test_stream_that_runs_once_is_cut),
 	    T(test_caller_that_leaves_stops_the_endpoint),
 	    T(test_program_begins_while_the_store_is_out),
--- a/test/test_sse.c
+++ b/test/test_sse.c
@@ -92,6 +92,34 @@
 	mu_sse_clear(&s);
 }
 
+/* Guards against a stream cut within an event that looked complete. */
+static void
+test_boundary(void **state)
+{
+	static const struct {
+		const char *text;
+		bool at_boundary;
+	} ends[] = {{"", true}, {"data: a\n\n", true},
+	    {"data: a\r\n\r\n", true}, {"data: a\r\r", true},
+	    {"data: a\n\n: still here\n", true}, {"data: a\n\n\n", true},
+	    {"data: a\n\ni", false}, {"data: a\n\nid: 2\n", false},
+	    {"data: a\n", false}, {"data: a\n\n: still", false},
+	    {"data: a\n\nweight-versions: 2\n", false}};
+	struct received received = {0};
+	struct mu_sse s;
+	size_t i;
+
+	(void)state;
+	mu_sse_init(&s, 64);
+	for (i = 0; i < sizeof(ends) / sizeof(*ends); i++) {
+		assert_int_equal(mu_sse_feed(&s, ends[i].text,
+				     strlen(ends[i].text), on_event, &received),
+		    0);
+		assert_int_equal(mu_sse_at_boundary(&s), ends[i].at_boundary);
+		mu_sse_clear(&s);
+	}
+}
+
 int
 main(void)
 {
@@ -99,6 +127,7 @@
 	    cmocka_unit_test(test_pieces_of_any_size),
 	    cmocka_unit_test(test_bounds),
 	    cmocka_unit_test(test_reader_stops),
+	    cmocka_unit_test(test_boundary),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
