--- a/src/serve.c
+++ b/src/serve.c
@@ -32,6 +32,8 @@
  * an outage. */
 #define OUTAGE_HEARTBEATS 5
 #define DAEMON_LONG_POLL_MS 2000
+/* Hosts of a new fleet start within a second of each other. */
+#define FLEET_START_US (1500 * MU_US_PER_MS)
 #define HEARTBEAT_INTERVAL_MS 200
 #define SILENCE_MS 700 /* three heartbeats and the network delay */
 /* A fifth of the smallest host's memory. */
@@ -197,8 +199,7 @@
 {
 	struct mu_serve *s = arg;
 
-	if (first_start)
-		mu_loans_skip_grace(s->loans);
+	s->first_start = first_start;
 	mu_timer_set(s->loop, &s->announce_timer, mu_loop_now(s->loop));
 }
 
@@ -269,11 +270,28 @@
 	    &s->crashes, mu_hash(p->host), reports, n, mu_loop_now(s->loop));
 }
 
+/* On the fleet's first start nothing can have been lent before.  But a daemon
+ * that doesn't know all others yet may take itself for the guarantor of a
+ * program that has another one, so it lends only once the list of daemons is
+ * newer than the start of the last of them. */
+static void
+end_first_start(struct mu_serve *s)
+{
+	mu_us started = s->opened_at + FLEET_START_US;
+
+	if (!s->first_start ||
+	    mu_loop_now(s->loop) - started <= mu_follow_age(s->follow_daemons))
+		return;
+	s->first_start = false;
+	mu_loans_skip_grace(s->loans);
+}
+
 static void
 fill_heartbeat(void *arg, Mu__Beat *b)
 {
 	struct mu_serve *s = arg;
 
+	end_first_start(s);
 	detect_endpoint_table_outage(s);
 	b->leaving = s->leaving;
 	b->ready = mu_serve_ready(s);
--- a/src/serve.h
+++ b/src/serve.h
@@ -86,6 +86,7 @@
 	struct mu_routes *routes; /* NULL until a configuration is known */
 	bool endpoints_loaded; /* the list has been read, or a seed applied */
 	mu_us opened_at;
+	bool first_start; /* of the fleet; nothing is lent yet */
 	bool leaving;
 	unsigned calls; /* in progress */
 	struct mu_follow *follow_config;
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -16,6 +16,9 @@
  *   budget    the tokens of a program stay within its budget plus the maximum
  *             of one turn
  *
+ * With OLD_DAEMON, the path of a daemon of an earlier release, each start picks
+ * one of the two, as in an upgrade or a rollback.
+ *
  * It kills only the processes that it started, by their ids.
  */
 #include <signal.h>
@@ -286,18 +289,23 @@
 static void
 start_daemon(struct proc *p)
 {
-	char program[] = "build/cardamomusher", option[] = "--settings";
-	char *argv[] = {program, option, p->conf, NULL};
+	char new_daemon[] = "build/cardamomusher", option[] = "--settings";
+	char *old_daemon = getenv("OLD_DAEMON"), *program = new_daemon;
+	char *argv[] = {NULL, option, p->conf, NULL};
 	posix_spawn_file_actions_t a;
 	char log[80];
 
+	if (old_daemon != NULL && random_below(2) == 0)
+		program = old_daemon;
+	argv[0] = program;
+
 	(void)snprintf(log, sizeof(log), "%s.log", p->conf);
 	posix_spawn_file_actions_init(&a);
 	posix_spawn_file_actions_addopen(
 	    &a, STDOUT_FILENO, log, O_WRONLY | O_CREAT | O_APPEND, 0644);
 	posix_spawn_file_actions_adddup2(&a, STDOUT_FILENO, STDERR_FILENO);
 	if (posix_spawn(&p->pid, program, &a, NULL, argv, environ) != 0)
-		fatal("cannot start build/cardamomusher");
+		fatal("cannot start the daemon");
 	posix_spawn_file_actions_destroy(&a);
 	p->restart_at = 0;
 }
--- a/test/tablekit.h
+++ b/test/tablekit.h
@@ -16,6 +16,7 @@
 	struct mu_loop *loop;
 	struct memstore *mem;
 	struct mu_inbound *in;
+	struct cds_list_head waits; /* struct feed_wait */
 	char addr[MU_ADDR_LEN];
 	int force; /* status of the next responses; 0: the regular one */
 	bool mute; /* requests are not answered */
@@ -26,6 +27,7 @@
 
 /* A request that waits for a change. */
 struct feed_wait {
+	struct cds_list_head node;
 	struct tablekit *t;
 	struct mu_in_req *r;
 	struct mu_timer timer;
@@ -123,8 +125,11 @@
 
 	mu__store_result__init(res);
 	mem_feed(w->t->mem, w->op, res);
+	cds_list_del(&w->node);
+	mu_timer_clear(w->t->loop, &w->timer);
 	w->r->user = NULL;
-	send_result(w->t, w->r, res);
+	if (!w->t->lost)
+		send_result(w->t, w->r, res);
 	mu__store_result__free_unpacked(res, NULL);
 	mu__store_op__free_unpacked(w->op, NULL);
 	free(w);
@@ -141,11 +146,31 @@
 		t->muted_request = NULL;
 	if (w == NULL)
 		return;
+	cds_list_del(&w->node);
 	mu_timer_clear(t->loop, &w->timer);
 	mu__store_op__free_unpacked(w->op, NULL);
 	free(w);
 }
 
+/* Rows have changed: answers the requests that wait for it. */
+static inline void
+tablekit_changed(struct tablekit *t)
+{
+	struct feed_wait *w, *next;
+	Mu__StoreResult *res;
+	bool changed;
+
+	cds_list_for_each_entry_safe (w, next, &t->waits, node) {
+		res = malloc(sizeof(*res));
+		mu__store_result__init(res);
+		mem_feed(t->mem, w->op, res);
+		changed = res->n_rows > 0;
+		mu__store_result__free_unpacked(res, NULL);
+		if (changed && !t->mute)
+			feed_wait_end(w);
+	}
+}
+
 /* Handles a request for changes.  If there are none and it asks to wait for
  * one, takes op and returns true. */
 static inline bool
@@ -164,6 +189,7 @@
 	w->op = op;
 	w->timer.fn = feed_wait_end;
 	w->timer.arg = w;
+	cds_list_add_tail(&w->node, &t->waits);
 	r->user = w;
 	mu_timer_set(
 	    t->loop, &w->timer, mu_loop_now(t->loop) + wait * MU_US_PER_MS);
@@ -183,6 +209,7 @@
 	if (t->force == 0)
 		mem_write(t->mem, op, res);
 	json_decref(body);
+	tablekit_changed(t);
 }
 
 static inline void
@@ -228,6 +255,7 @@
 	struct mu_error e;
 
 	t->loop = l;
+	CDS_INIT_LIST_HEAD(&t->waits);
 	t->mem = m;
 	m->loop = l;
 	kit_unused_addr(t->addr);
--- a/test/test_call.c
+++ b/test/test_call.c
@@ -182,6 +182,14 @@
 		f->serve.targets.by_name.count == f->nends));
 }
 
+/* Until the daemon knows all that started with it, and lends. */
+static void
+wait_until_lending(struct fixture *f)
+{
+	wait_until_ready(f);
+	assert_true(kit_until(f->loop, 6000, !f->serve.first_start));
+}
+
 static unsigned
 peers_up(struct mu_serve *s)
 {
@@ -496,7 +504,7 @@
 	bool spent = false;
 	int i;
 
-	wait_until_ready(f);
+	wait_until_lending(f);
 	expect(f, TURN("/chat/1", "t1", ""), 2000, "\r\n0\r\n\r\n");
 	assert_true(f->mem->nrows > 2);
 	expect(f, TURN("/chat/1", "t2", "Previous-Turn: t1\r\n"), 2000,
@@ -877,13 +885,29 @@
 	struct fixture *f = *state;
 
 	(void)add_endpoint(f, "llm", s, 1);
-	wait_until_ready(f);
+	wait_until_lending(f);
 	f->mem->fault = MEM_SILENT;
 	expect(f, TURN("/check/1", "c1", ""), 900, "\r\n0\r\n\r\n");
 	/* The outage has been detected: the next turn does not wait. */
 	expect(f, TURN("/check/1", "c2", ""), 100, "\r\n0\r\n\r\n");
 }
 
+/* Guards against two daemons that both lent to a program: one that has just
+ * started with its fleet doesn't know who else did, so it lends nothing yet. */
+static void
+test_no_loan_before_all_daemons_are_known(void **state)
+{
+	static const struct kit_step s[] = {
+	    {CHUNKED PIECE("1") LAST_CHUNK, false, false}};
+	struct fixture *f = *state;
+	struct kit_endpoint *e = add_endpoint(f, "llm", s, 1);
+
+	wait_until_ready(f);
+	f->mem->fault = MEM_SILENT;
+	expect(f, TURN("/check/1", "c1", ""), 1300, "state_unavailable");
+	assert_int_equal(e->requests, 0);
+}
+
 /* A turn whose history is only in the unavailable store is refused within 1.3
  * s, with Retry-After. */
 static void
@@ -1187,7 +1211,7 @@
 	struct kit_caller *c;
 
 	(void)add_endpoint(f, "llm", s, 2);
-	wait_until_ready(f);
+	wait_until_lending(f);
 	f->mem->fault = MEM_SILENT;
 	/* Up to 4 events of 17 tokens, which is what the loan covers. */
 	expect(f, SMALL_TURN("c1"), 900, "\r\n0\r\n\r\n");
@@ -1689,6 +1713,7 @@
 	    T(test_stream_that_runs_once_is_cut),
 	    T(test_caller_that_leaves_stops_the_endpoint),
 	    T(test_program_begins_while_the_store_is_out),
+	    T(test_no_loan_before_all_daemons_are_known),
 	    T(test_refused_in_time_when_the_store_is_out),
 	    T(test_dead_endpoint_is_left_alone),
 	    T(test_waits_without_requests_of_its_own),
