--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -3288,7 +3288,7 @@
   mu__store_result__status__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor mu__store_result__field_descriptors[4] =
+static const ProtobufCFieldDescriptor mu__store_result__field_descriptors[5] =
 {
   {
     "status",
@@ -3338,9 +3338,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "overloaded",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mu__StoreResult, overloaded),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mu__store_result__field_indices_by_name[] = {
   2,   /* field[2] = more */
+  4,   /* field[4] = overloaded */
   1,   /* field[1] = rows */
   0,   /* field[0] = status */
   3,   /* field[3] = ver */
@@ -3348,7 +3361,7 @@
 static const ProtobufCIntRange mu__store_result__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor mu__store_result__descriptor =
 {
@@ -3358,7 +3371,7 @@
   "Mu__StoreResult",
   "mu",
   sizeof(Mu__StoreResult),
-  4,
+  5,
   mu__store_result__field_descriptors,
   mu__store_result__field_indices_by_name,
   1,  mu__store_result__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -628,10 +628,14 @@
    * the newest version
    */
   uint64_t ver;
+  /*
+   * REFUSED because there are too many operations
+   */
+  protobuf_c_boolean overloaded;
 };
 #define MU__STORE_RESULT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mu__store_result__descriptor) \
-    , MU__STORE_RESULT__STATUS__DONE, 0,NULL, 0, 0 }
+    , MU__STORE_RESULT__STATUS__DONE, 0,NULL, 0, 0, 0 }
 
 
 /*
--- a/src/account.c
+++ b/src/account.c
@@ -292,6 +292,8 @@
 	struct mu_store *s = p->accounts->store;
 
 	return mu_store_unavailable(s) ||
+	       mu_store_partition_unavailable(
+		   s, MU_ACCOUNT_TABLE, mu_account_partition(p)) ||
 	       mu_store_partition_suspect(
 		   s, MU_ACCOUNT_TABLE, mu_account_partition(p));
 }
--- a/src/accountrow.c
+++ b/src/accountrow.c
@@ -224,6 +224,10 @@
 {
 	mu_us limit = mu_loop_now(p->accounts->loop) + DRAW_TIMEOUT_US;
 
+	/* Without a loan to fall back on, giving up would only put the draw at
+	 * the end of the partition's queue again. */
+	if (p->guarantor_refused != MU_REFUSED_NOTHING)
+		limit = deadline;
 	start_write(p, amount, false, limit < deadline ? limit : deadline);
 }
 
--- a/src/store.c
+++ b/src/store.c
@@ -9,6 +9,11 @@
  * counts.  storepath.c chooses the path of an attempt.  Operations on a
  * partition that neither path reaches are queued here, and a few of them are
  * sent at intervals as probes.
+ *
+ * A store that was slow refuses operations as too many, and all daemons of a
+ * large fleet probe it at the same time.  Their probes alone could be more than
+ * it takes, so that it never recovers.  The interval between probes therefore
+ * doubles with each one refused for this reason, until one is answered.
  */
 #include <jansson.h>
 #include <stdio.h>
@@ -28,8 +33,10 @@
 #define BACKOFF_MAX_MS 250
 /* Several times the typical round-trip time. */
 #define PROBE_INTERVAL_US (60 * MU_US_PER_MS)
-/* Partitions probed per interval.  With nearly half of the partitions
- * unavailable, a fleet's probes amount to a third of its typical call rate. */
+/* While the store refuses probes as too many.  At this rate those of hundreds
+ * of daemons are a fraction of what it takes. */
+#define PROBE_INTERVAL_MAX_US (1 * MU_US_PER_S)
+/* Partitions probed per interval. */
 #define PROBES_PER_INTERVAL 2
 #define PROBE_TIMEOUT_DOUBLINGS 2 /* of the timeout of a probe */
 #define MAX_CONCURRENT_ATTEMPTS 3 /* of one operation */
@@ -57,6 +64,7 @@
 	bool logged_available;
 	struct cds_list_head ops;
 	struct mu_timer probe_timer;
+	mu_us probe_interval;
 };
 
 struct op {
@@ -83,6 +91,7 @@
 	struct op *o;
 	mu_us began;
 	bool relayed;
+	bool probe;
 };
 
 static void on_probe_timer(void *arg);
@@ -103,6 +112,7 @@
 	CDS_INIT_LIST_HEAD(&s->partitions);
 	s->probe_timer.fn = on_probe_timer;
 	s->probe_timer.arg = s;
+	s->probe_interval = PROBE_INTERVAL_US;
 	return s;
 }
 
@@ -212,6 +222,13 @@
 	    &get_partition(s, table, part)->path, mu_loop_now(s->loop));
 }
 
+bool
+mu_store_partition_unavailable(
+    struct mu_store *s, const char *table, const char *part)
+{
+	return partition_unavailable(s, get_partition(s, table, part));
+}
+
 unsigned
 mu_store_pending(const struct mu_store *s)
 {
@@ -342,7 +359,7 @@
 	mu_timer_set(s->loop, &o->timer, o->deadline);
 	if (s->probe_timer.slot == 0)
 		mu_timer_set(s->loop, &s->probe_timer,
-		    mu_loop_now(s->loop) + PROBE_INTERVAL_US);
+		    mu_loop_now(s->loop) + s->probe_interval);
 }
 
 /* Schedules the next attempt after one that failed. */
@@ -369,12 +386,28 @@
 		o->backoff_ms = BACKOFF_MAX_MS;
 }
 
+static void
+adapt_probe_interval(struct mu_store *s, const Mu__StoreResult *r)
+{
+	mu_us interval = s->probe_interval;
+
+	if (r->overloaded)
+		interval *= 2;
+	else if (!retryable(r->status))
+		interval = PROBE_INTERVAL_US;
+	if (interval > PROBE_INTERVAL_MAX_US)
+		interval = PROBE_INTERVAL_MAX_US;
+	s->probe_interval = interval;
+}
+
 static void
 on_attempt_result(void *arg, const Mu__StoreResult *r)
 {
 	struct attempt *a = arg;
 	struct op *o = a->o;
 
+	if (a->probe)
+		adapt_probe_interval(o->s, r);
 	record_outcome(o, a, r->status);
 	cds_list_del(&a->node);
 	free(a);
@@ -435,6 +468,7 @@
 		abort();
 	a->o = o;
 	a->began = now;
+	a->probe = kind == MU_PATH_NONE;
 	a->relayed = o->last_relayed = use_relay(o, kind);
 	o->running_attempts++;
 	cds_list_add(&a->node, &o->attempts);
@@ -566,7 +600,7 @@
 	}
 	if (waiting)
 		mu_timer_set(s->loop, &s->probe_timer,
-		    mu_loop_now(s->loop) + PROBE_INTERVAL_US);
+		    mu_loop_now(s->loop) + s->probe_interval);
 }
 
 void
--- a/src/store.h
+++ b/src/store.h
@@ -60,6 +60,9 @@
 /* Whether the partition failed recently while others answered. */
 bool mu_store_partition_suspect(
     struct mu_store *s, const char *table, const char *part);
+/* Whether operations on a partition are queued, as neither path reaches it. */
+bool mu_store_partition_unavailable(
+    struct mu_store *s, const char *table, const char *part);
 /* Operations in progress. */
 unsigned mu_store_pending(const struct mu_store *s);
 
--- a/test/memstore.h
+++ b/test/memstore.h
@@ -23,6 +23,8 @@
 	MEM_INVALID /* rejects the operation permanently */
 };
 
+#define MEM_RATE_SLICES 10
+
 struct mem_row {
 	char table[32], part[32], key[256];
 	uint8_t *value;
@@ -50,6 +52,11 @@
 	const char *down[16]; /* partitions that the fault affects... */
 	unsigned ndown; /* ...0: all */
 	mu_us delay; /* before each answer */
+	/* Calls in a second, refused ones included, beyond which the store
+	 * refuses as overloaded; 0: no limit. */
+	unsigned rate_limit;
+	unsigned recent[MEM_RATE_SLICES]; /* calls, by slices of a second */
+	mu_us slice; /* number of the newest one */
 	unsigned calls, writes, reads, feeds;
 	size_t page; /* most rows in one read; 0: no limit */
 	struct mem_pending *pending; /* results not delivered yet */
@@ -243,13 +250,29 @@
 	return m->ndown == 0 ? m->fault : MEM_HEALTHY;
 }
 
+/* Counts a call; true if there are too many. */
+static inline bool
+mem_overloaded(struct memstore *m)
+{
+	mu_us slice = mu_loop_now(m->loop) / (MU_US_PER_S / MEM_RATE_SLICES);
+	unsigned i, sum = 0;
+
+	for (; m->slice < slice; m->slice++)
+		m->recent[(m->slice + 1) % MEM_RATE_SLICES] = 0;
+	m->recent[slice % MEM_RATE_SLICES]++;
+	for (i = 0; i < MEM_RATE_SLICES; i++)
+		sum += m->recent[i];
+	return m->rate_limit > 0 && sum > m->rate_limit;
+}
+
 static inline void
 mem_run(void *arg, const Mu__StoreOp *op, uint32_t timeout_ms,
     mu_store_result_fn done, void *done_arg)
 {
 	struct memstore *m = arg;
 	struct mem_pending *a = calloc(1, sizeof(*a));
-	enum mem_fault fault = mem_fault_for(m, op);
+	bool overloaded = mem_overloaded(m);
+	enum mem_fault fault = overloaded ? MEM_BUSY : mem_fault_for(m, op);
 	mu_us delay = m->delay;
 
 	m->calls++;
@@ -273,6 +296,7 @@
 	a->result->ver = m->ver;
 	if (fault == MEM_BUSY)
 		a->result->status = MU__STORE_RESULT__STATUS__REFUSED;
+	a->result->overloaded = overloaded;
 	if (fault == MEM_INVALID)
 		a->result->status = MU__STORE_RESULT__STATUS__INVALID;
 	if (fault == MEM_HISTORY_GONE)
--- a/test/test_store.c
+++ b/test/test_store.c
@@ -183,6 +183,80 @@
 	assert_true(f->completed_at - recovered_at < 250 * MU_US_PER_MS);
 }
 
+static bool
+relay_available(void *arg)
+{
+	(void)arg;
+	return true;
+}
+
+#define FLEET 40 /* daemons */
+#define PROGRAMS 10 /* of each daemon */
+#define FLEET_PARTITIONS 16
+#define FLEET_LIMIT \
+	1000 /* calls of all daemons that the store takes a second */
+
+/* Each program writes once a second, and again at once when that failed. */
+static void
+run_programs(struct fixture *program, int n)
+{
+	char part[8];
+	int i;
+
+	for (i = 0; i < n; i++) {
+		if (program[i].completed == 0 ||
+		    (program[i].status == MU__STORE_RESULT__STATUS__DONE &&
+			mu_loop_now(program[i].loop) - program[i].completed_at <
+			    MU_US_PER_S))
+			continue;
+		program[i].completed = 0;
+		(void)snprintf(part, sizeof(part), "p%d", i % FLEET_PARTITIONS);
+		put_in_partition(&program[i], part, "a", 160 * MU_US_PER_MS);
+	}
+}
+
+/* Guards against a fleet whose attempts alone are more than an overloaded store
+ * takes, which kept it refusing all operations for ever: forty daemons after an
+ * outage of two seconds. */
+static void
+test_fleet_recovers_from_an_overloaded_store(void **state)
+{
+	struct fixture *f = *state,
+		       *program = calloc(FLEET * PROGRAMS, sizeof(*program));
+	struct mu_store *store[FLEET];
+	struct mu_store_backend b = {f->mem, mem_run};
+	struct mu_store_relay relay = {f->mem, relay_available, mem_run};
+	unsigned served = 0;
+	int i, ms;
+
+	f->mem->fault = MEM_BUSY;
+	f->mem->rate_limit = FLEET_LIMIT;
+	for (i = 0; i < FLEET; i++) {
+		store[i] = mu_store_new(f->loop, &b);
+		mu_store_set_relay(store[i], &relay);
+	}
+	for (i = 0; i < FLEET * PROGRAMS; i++) {
+		program[i].loop = f->loop;
+		program[i].store = store[i / PROGRAMS];
+		program[i].completed = 1;
+		program[i].status = MU__STORE_RESULT__STATUS__REFUSED;
+	}
+	for (ms = 0; ms < 10000; ms += 10) {
+		if (ms == 2000)
+			f->mem->fault = MEM_HEALTHY;
+		run_programs(program, FLEET * PROGRAMS);
+		run_ms(f->loop, &f->clock, 10);
+	}
+	for (i = 0; i < FLEET * PROGRAMS; i++)
+		served += program[i].completed > 0 &&
+			  program[i].status == MU__STORE_RESULT__STATUS__DONE;
+	assert_true(served > FLEET * PROGRAMS * 9 / 10);
+	run_ms(f->loop, &f->clock, 1000);
+	for (i = 0; i < FLEET; i++)
+		mu_store_free(store[i]);
+	free(program);
+}
+
 static void
 test_silent_store_gives_unknown(void **state)
 {
@@ -195,13 +269,6 @@
 	assert_int_equal(f->status, MU__STORE_RESULT__STATUS__UNKNOWN);
 }
 
-static bool
-relay_available(void *arg)
-{
-	(void)arg;
-	return true;
-}
-
 /* The store rejects this daemon but serves a peer. */
 static void
 test_goes_through_a_peer(void **state)
@@ -311,6 +378,7 @@
 	    T(test_slow_store_is_waited_for),
 	    T(test_busy_store_is_retried_until_the_deadline),
 	    T(test_outage_costs_few_calls_and_ends_at_once),
+	    T(test_fleet_recovers_from_an_overloaded_store),
 	    T(test_silent_store_gives_unknown),
 	    T(test_goes_through_a_peer),
 	    T(test_part_that_is_down_holds_up_no_other),
