--- a/src/frame.c
+++ b/src/frame.c
@@ -7,8 +7,9 @@
  * structure is therefore checked before it is unpacked: it must hold exactly
  * one field (the message itself); hellos and heartbeats, which contain lists,
  * must be small; the other kinds, which carry bulk data in single fields, are
- * limited in their number of fields.  This bounds the memory that a hostile
- * frame can allocate to a small multiple of its size.
+ * limited in their number of fields, and so are the rows of a seed.  This
+ * bounds the memory that a hostile frame can allocate to a small multiple of
+ * its size.
  */
 #include <arpa/inet.h>
 #include <stdlib.h>
@@ -17,6 +18,8 @@
 #include "frame.h"
 
 #define FIELDS_MAX 64 /* fields in a message that may be large */
+/* Rows of a seed: a few for each endpoint of the largest fleet. */
+#define SEED_FIELDS_MAX 16384
 #define VARINT_MAX_BYTES 10
 
 #define WIRE_VARINT 0
@@ -81,14 +84,14 @@
 }
 
 static bool
-field_count_ok(struct span s)
+field_count_ok(struct span s, unsigned max)
 {
 	struct span body;
 	uint64_t tag;
 	unsigned n;
 
 	for (n = 0; s.len > 0; n++) {
-		if (n == FIELDS_MAX || !read_field(&s, &tag, &body))
+		if (n == max || !read_field(&s, &tag, &body))
 			return false;
 	}
 	return true;
@@ -109,8 +112,11 @@
 	case MU__FRAME__BODY_HEARTBEAT:
 	case MU__FRAME__BODY_BEAT:
 		return len <= MU_FRAME_LISTS_MAX_BYTES ? 0 : MU_E_TOO_LARGE;
+	case MU__FRAME__BODY_SEED:
+		return field_count_ok(body, SEED_FIELDS_MAX) ? 0
+							     : MU_E_BAD_REQUEST;
 	default:
-		return field_count_ok(body) ? 0 : MU_E_BAD_REQUEST;
+		return field_count_ok(body, FIELDS_MAX) ? 0 : MU_E_BAD_REQUEST;
 	}
 }
 
--- a/test/test_serve.c
+++ b/test/test_serve.c
@@ -350,6 +350,43 @@
 	    MU_CRASHES_LIMIT);
 }
 
+/* Guards against a seed of more than 63 rows, which its receiver refused as
+ * malformed, again and again: the daemon served nothing until the store was
+ * back. */
+static void
+test_daemon_of_a_large_deployment_starts_without_the_store(void **state)
+{
+	static const char config[] =
+	    "{\"version\":7,\"routes\":[],\"services\":[]}";
+	static const char entry[] =
+	    "{\"service\":\"app\",\"address\":\"127.0.0.1:9\",\"zone\":"
+	    "\"east\","
+	    "\"slots\":8,\"state\":\"ready\",\"sequence\":1,\"born\":5}";
+	const unsigned n = 700;
+	struct fixture *f = *state;
+	char name[16];
+	unsigned i;
+
+	f->mem->ver++;
+	mem_put(f->mem, "op", "", "config", config, strlen(config));
+	for (i = 0; i < n; i++) {
+		(void)snprintf(name, sizeof(name), "e%u", i);
+		mem_put(f->mem, "servers", "", name, entry, strlen(entry));
+	}
+	assert_true(kit_until(f->loop, 4000,
+	    mu_serve_ready(&f->daemon[0]) &&
+		f->daemon[0].targets.by_name.count == n &&
+		f->daemon[2].targets.by_name.count == n));
+	f->mem->fault = MEM_SILENT;
+	stop(f, 1);
+	kit_run_ms(f->loop, 100);
+	start(f, 1);
+	assert_true(kit_until(f->loop, 2500, mu_serve_ready(&f->daemon[1])));
+	assert_int_equal(f->daemon[1].targets.by_name.count, n);
+	f->mem->fault = MEM_HEALTHY;
+	kit_run_ms(f->loop, 4500);
+}
+
 /* A daemon restarted while the store is unavailable to all gets the
  * configuration, the endpoints and the daemons' addresses from its peers and
  * becomes ready. */
@@ -426,6 +463,7 @@
 	    T(test_peers_tell_what_they_have_at_endpoints),
 	    T(test_crashing_request_is_known_to_peers),
 	    T(test_daemon_starts_without_the_store),
+	    T(test_daemon_of_a_large_deployment_starts_without_the_store),
 	    T(test_peer_without_a_link_leaves),
 #undef T
 	};
