Upstream, crashes: no use of a pool after its last connection, as lint asks

fail_exchange() read the probe's hook from the pool after conn_free(), which may free the pool; a released pool has no probe, so this could not happen, but only mu_up_pool_release() showed it. crashes.c: no pointer that lint takes for NULL.

--- a/src/crashes.c
+++ b/src/crashes.c
@@ -252,13 +252,13 @@
     const struct mu_crash_report *in, mu_us now)
 {
 	struct mu_crash_entry *e = entry_get(c, in->fingerprint, now);
-	struct peer_report *r, *to = NULL;
+	struct peer_report *r, *to = e->reports;
 
 	for (r = e->reports; r < e->reports + PEER_REPORTS_MAX; r++)
 		if (r->peer == peer) {
 			to = r;
 			break;
-		} else if (to == NULL || r->count < to->count) {
+		} else if (r->count < to->count) {
 			to = r;
 		}
 	if (to->peer != 0 && to->peer != peer && to->count >= in->count)
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -196,9 +196,12 @@
 fail_exchange(struct mu_up_exchange *x, enum mu_up_end end)
 {
 	struct mu_up_hooks hooks = x->hooks;
-	struct mu_up_pool *p = x->pool;
-	bool sent = x->sent, busy = x->busy, probe = p->probe == x;
+	void (*on_unreachable)(void *arg) = NULL;
+	void *unreachable_arg = x->pool->on_unreachable_arg;
+	bool sent = x->sent, busy = x->busy;
 
+	if (x->pool->probe == x)
+		on_unreachable = x->pool->on_unreachable;
 	if (end == MU_UP_ABORTED && !x->answer_started)
 		lower_reuse_limit(x);
 	if (end == MU_UP_ABORTED && !x->answer_started && x->idle_before == 0 &&
@@ -211,8 +214,8 @@
 	conn_free(x);
 	if (busy)
 		hooks.end(hooks.arg, end, sent);
-	else if (probe)
-		p->on_unreachable(p->on_unreachable_arg);
+	else if (on_unreachable != NULL)
+		on_unreachable(unreachable_arg);
 }
 
 static void
