--- a/src/call.c
+++ b/src/call.c
@@ -584,7 +584,8 @@
 	c->state = ST_PREPARING;
 	mu_sse_init(&c->sse, MAX_EVENT_BYTES);
 	r->user = c;
-	s->calls++;
+	cds_list_add_tail(&c->in_progress, &s->calls);
+	s->ncalls++;
 	mu_count(MU_M_HTTP, 1);
 	if (!find_route(c))
 		return;
@@ -620,8 +621,25 @@
 		c->reason = ok ? "closed" : "caller_gone";
 		log_end(c, 0);
 		release_resources(c);
+	} else if (!ok && r->end != MU_IN_CUT) {
+		mu_log(MU_LOG_WARN, "call", "answer_not_sent", "{s:s,s:s,s:s}",
+		    "request", c->req.id, "why", c->reason, "end",
+		    mu_in_end_name(r->end));
 	}
 	c->closed = true;
-	c->s->calls--;
+	cds_list_del(&c->in_progress);
+	c->s->ncalls--;
 	mu_call_unref(c);
 }
+
+void
+mu_call_log_unfinished(const struct mu_serve *s)
+{
+	struct mu_call *c;
+
+	cds_list_for_each_entry (c, &s->calls, in_progress) {
+		if (c->state != ST_ANSWERED)
+			c->reason = "process_stopped";
+		log_end(c, 0);
+	}
+}
--- a/src/call.h
+++ b/src/call.h
@@ -42,6 +42,8 @@
     struct mu_serve *s, struct mu_in_req *r, const struct mu_call_req *req);
 /* Releases the call when its request has ended or the caller disconnected. */
 void mu_call_closed(struct mu_in_req *r, bool ok);
+/* Writes `end` for each request in progress, before the process exits. */
+void mu_call_log_unfinished(const struct mu_serve *s);
 /* Tries to send the queued calls of g, in order; called when capacity may have
  * been freed or routes or endpoints have changed. */
 void mu_call_retry_waiting(struct mu_serve *s, struct mu_group *g);
--- a/src/call_private.h
+++ b/src/call_private.h
@@ -27,6 +27,7 @@
 
 struct mu_call {
 	struct cds_list_head node; /* in group->waiting while queued */
+	struct cds_list_head in_progress; /* in s->calls */
 	struct mu_serve *s;
 	struct mu_in_req *in;
 	struct mu_call_req req; /* its memory is in arena */
--- a/src/inbound.c
+++ b/src/inbound.c
@@ -268,6 +268,34 @@
 	return MHD_YES;
 }
 
+const char *
+mu_in_end_name(enum mu_in_end end)
+{
+	static const char *const names[] = {
+	    "sent", "caller_closed", "cut", "timeout", "failed"};
+
+	return names[end];
+}
+
+static enum mu_in_end
+end_of(const struct mu_in_req *r, enum MHD_RequestTerminationCode code)
+{
+	if (r->caller_closed)
+		return MU_IN_CALLER_CLOSED;
+	if (r->aborted || r->stream_truncated)
+		return MU_IN_CUT;
+	switch (code) {
+	case MHD_REQUEST_TERMINATED_COMPLETED_OK:
+		return MU_IN_SENT;
+	case MHD_REQUEST_TERMINATED_TIMEOUT_REACHED:
+		return MU_IN_TIMEOUT;
+	case MHD_REQUEST_TERMINATED_CLIENT_ABORT:
+		return MU_IN_CALLER_CLOSED;
+	default:
+		return MU_IN_FAILED;
+	}
+}
+
 static void
 on_completed(void *cls, struct MHD_Connection *connection, void **state,
     enum MHD_RequestTerminationCode code)
@@ -281,9 +309,10 @@
 	unwatch(r);
 	MHD_set_connection_option(
 	    connection, MHD_CONNECTION_OPTION_TIMEOUT, in->conf.idle_s);
+	r->end = end_of(r, code);
 	if (r->dispatched)
-		in->conf.hooks.closed(in->conf.hooks.arg, r,
-		    code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
+		in->conf.hooks.closed(
+		    in->conf.hooks.arg, r, r->end == MU_IN_SENT);
 	mu_buf_clear(&r->body);
 	mu_buf_clear(&r->stream_buf);
 	mu_arena_free(r->arena);
--- a/src/inbound.h
+++ b/src/inbound.h
@@ -38,6 +38,15 @@
 	struct mu_in_hooks hooks;
 };
 
+/* How a request ended. */
+enum mu_in_end {
+	MU_IN_SENT, /* the whole answer was written to the socket */
+	MU_IN_CALLER_CLOSED, /* the caller closed or reset its connection */
+	MU_IN_CUT, /* by the daemon: the answer was aborted */
+	MU_IN_TIMEOUT,
+	MU_IN_FAILED /* of the connection, otherwise */
+};
+
 struct mu_in_req {
 	struct MHD_Connection *connection;
 	struct mu_inbound *in;
@@ -49,6 +58,7 @@
 	void *user; /* for the handler */
 	struct mu_arena *arena;
 	bool caller_closed; /* the caller has closed its connection */
+	enum mu_in_end end; /* valid in the `closed` hook */
 	/* Private to inbound.c. */
 	char *uri;
 	struct mu_watch watch;
@@ -72,6 +82,7 @@
 /* Number of open connections. */
 unsigned mu_in_connections(struct mu_inbound *in);
 
+const char *mu_in_end_name(enum mu_in_end end);
 const char *mu_in_header(struct mu_in_req *r, const char *name);
 const char *mu_in_query(struct mu_in_req *r, const char *name);
 
--- a/src/serve.c
+++ b/src/serve.c
@@ -508,7 +508,7 @@
 	    (json_int_t)mu_counter_value(MU_M_BUDGET_DRAWS), "history_reads",
 	    (json_int_t)mu_counter_value(MU_M_HISTORY_READS), "connections",
 	    (json_int_t)mu_counter_value(MU_M_CONNECTIONS), "in_progress",
-	    (int)s->calls, "store_pending", (int)mu_store_pending(s->store),
+	    (int)s->ncalls, "store_pending", (int)mu_store_pending(s->store),
 	    "records_pending", (int)mu_history_pending_commits(s->history));
 	mu_timer_set(
 	    s->loop, &s->stats_timer, mu_loop_now(s->loop) + STATS_INTERVAL_US);
@@ -580,6 +580,7 @@
 	int rc;
 
 	s->loop = l;
+	CDS_INIT_LIST_HEAD(&s->calls);
 	s->opened_at = mu_loop_now(l);
 	s->seed = mu_seed_new();
 	s->store = mu_store_new(l, backend);
--- a/src/serve.h
+++ b/src/serve.h
@@ -88,7 +88,8 @@
 	mu_us opened_at;
 	bool first_start; /* of the fleet; nothing is lent yet */
 	bool leaving;
-	unsigned calls; /* in progress */
+	struct cds_list_head calls; /* struct mu_call, in progress */
+	unsigned ncalls;
 	struct mu_follow *follow_config;
 	struct mu_follow *follow_endpoints;
 	struct mu_follow *follow_daemons;
--- a/test/test_call.c
+++ b/test/test_call.c
@@ -873,7 +873,7 @@
 	assert_int_equal(e->requests, 1);
 	kit_caller_free(c);
 	assert_true(kit_until(f->loop, 500, e->closed_by_peer == 1));
-	assert_true(kit_until(f->loop, 500, f->serve.calls == 0));
+	assert_true(kit_until(f->loop, 500, f->serve.ncalls == 0));
 }
 
 /* During a store outage a program that needs no history starts on a loan. */
