--- a/src/call.c
+++ b/src/call.c
@@ -596,6 +596,10 @@
 	if (!mu_call_identify(c))
 		return;
 	set_deadline(c);
+	if (!mu_stop_accepts(&s->stop, c->deadline)) {
+		mu_call_end_with_error(c, 503, 0, "daemon_stopping");
+		return;
+	}
 	/* That of a turn that continues needs its history first. */
 	if (c->req.previous == NULL) {
 		set_fingerprint(c);
@@ -632,6 +636,18 @@
 	mu_call_unref(c);
 }
 
+void
+mu_call_end_all(struct mu_serve *s)
+{
+	struct mu_call *c;
+
+	cds_list_for_each_entry (c, &s->calls, in_progress)
+		if (c->state != ST_ANSWERED) {
+			mu_attempt_cancel(c, MU_HEALTH_BUSY);
+			mu_call_fail(c, 0, "daemon_stopping");
+		}
+}
+
 void
 mu_call_log_unfinished(const struct mu_serve *s)
 {
--- a/src/call.h
+++ b/src/call.h
@@ -42,6 +42,8 @@
     struct mu_serve *s, struct mu_in_req *r, const struct mu_call_req *req);
 /* Releases the call when its request has ended or the caller disconnected. */
 void mu_call_closed(struct mu_in_req *r, bool ok);
+/* Gives each request in progress its final answer: the daemon stops. */
+void mu_call_end_all(struct mu_serve *s);
 /* Writes `end` for each request in progress, before the process exits. */
 void mu_call_log_unfinished(const struct mu_serve *s);
 /* Tries to send the queued calls of g, in order; called when capacity may have
--- a/src/inbound.c
+++ b/src/inbound.c
@@ -36,6 +36,7 @@
 	bool needs_run; /* libmicrohttpd has work pending */
 	bool accepting;
 	bool leaving;
+	unsigned nrequests; /* read whole and not answered whole */
 };
 
 static int
@@ -257,6 +258,7 @@
 	if (r->dispatched)
 		return r->response != NULL ? queue_response(r) : MHD_NO;
 	r->dispatched = true;
+	r->in->nrequests++;
 	MHD_set_connection_option(
 	    connection, MHD_CONNECTION_OPTION_TIMEOUT, 0U);
 	r->in->conf.hooks.request(r->in->conf.hooks.arg, r);
@@ -310,9 +312,11 @@
 	MHD_set_connection_option(
 	    connection, MHD_CONNECTION_OPTION_TIMEOUT, in->conf.idle_s);
 	r->end = end_of(r, code);
-	if (r->dispatched)
+	if (r->dispatched) {
+		in->nrequests--;
 		in->conf.hooks.closed(
 		    in->conf.hooks.arg, r, r->end == MU_IN_SENT);
+	}
 	mu_buf_clear(&r->body);
 	mu_buf_clear(&r->stream_buf);
 	mu_arena_free(r->arena);
@@ -478,6 +482,12 @@
 	in->leaving = true;
 }
 
+unsigned
+mu_in_requests(const struct mu_inbound *in)
+{
+	return in->nrequests;
+}
+
 unsigned
 mu_in_connections(struct mu_inbound *in)
 {
--- a/src/serve.c
+++ b/src/serve.c
@@ -293,7 +293,7 @@
 
 	end_first_start(s);
 	detect_endpoint_table_outage(s);
-	b->leaving = s->leaving;
+	b->leaving = mu_serve_leaving(s);
 	b->ready = mu_serve_ready(s);
 	b->store_ok = mu_store_direct_available(s->store);
 	fill_endpoint_uses(s, b);
@@ -616,9 +616,9 @@
 }
 
 void
-mu_serve_drain(struct mu_serve *s)
+mu_serve_drain(struct mu_serve *s, uint32_t address_ttl_ms, uint32_t stop_ms)
 {
-	s->leaving = true;
+	mu_stop_begin(&s->stop, mu_loop_now(s->loop), address_ttl_ms, stop_ms);
 	mu_mesh_send_heartbeat(s->mesh);
 	mu_limiter_drain(s->limiter);
 	mu_home_drain(s->home);
--- a/src/serve.h
+++ b/src/serve.h
@@ -9,6 +9,7 @@
 #include "bootstrap.h"
 #include "inbound.h"
 #include "limiter.h"
+#include "stop.h"
 #include "targets.h"
 
 /* Metadata of an endpoint's answer, decoded from its headers. */
@@ -87,7 +88,7 @@
 	bool endpoints_loaded; /* the list has been read, or a seed applied */
 	mu_us opened_at;
 	bool first_start; /* of the fleet; nothing is lent yet */
-	bool leaving;
+	struct mu_stop stop;
 	struct cds_list_head calls; /* struct mu_call, in progress */
 	unsigned ncalls;
 	struct mu_follow *follow_config;
@@ -104,8 +105,10 @@
  * the loop must be run. */
 int mu_serve_open(struct mu_serve *s, struct mu_loop *l,
     const struct mu_store_backend *backend, struct mu_error *e);
-/* Starts draining: peers are told that this daemon accepts no new callers. */
-void mu_serve_drain(struct mu_serve *s);
+/* Starts draining: peers are told that this daemon accepts no new callers, and
+ * requests that could outlast the process are refused (stop.h). */
+void
+mu_serve_drain(struct mu_serve *s, uint32_t address_ttl_ms, uint32_t stop_ms);
 void mu_serve_close(struct mu_serve *s);
 
 /*
@@ -126,11 +129,17 @@
 	return s->routes != NULL && s->endpoints_loaded;
 }
 
+static inline bool
+mu_serve_leaving(const struct mu_serve *s)
+{
+	return s->stop.began != 0;
+}
+
 /* Ready for callers: state is loaded and the daemon is not draining. */
 static inline bool
 mu_serve_ready(const struct mu_serve *s)
 {
-	return mu_serve_state_loaded(s) && !s->leaving;
+	return mu_serve_state_loaded(s) && !mu_serve_leaving(s);
 }
 
 #endif
--- a/src/stop.c
+++ b/src/stop.c
@@ -1,30 +1,60 @@
 /*
- * stop.c -- when a draining daemon may exit.
+ * stop.c -- a planned stop: which requests are still accepted, and when the
+ * daemon may exit.
  */
 #include "stop.h"
 
 /* Callers may use an address, and connections open to it, for up to three times
  * its TTL. */
 #define ADDRESS_TTL_FACTOR 3
-#define KILL_MARGIN_MS 700 /* exit this long before the platform kills it */
+/* Before the platform kills the process: exit, and before that time to send the
+ * last answers.  Each at most this part of the whole time. */
+#define KILL_MARGIN_US (300 * MU_US_PER_MS)
+#define SEND_TIME_US (400 * MU_US_PER_MS)
+#define MARGIN_DIVISOR 8
+
+static mu_us
+earlier(mu_us a, mu_us b)
+{
+	return a < b ? a : b;
+}
 
 void
 mu_stop_begin(
     struct mu_stop *s, mu_us now, uint32_t address_ttl_ms, uint32_t stop_ms)
 {
+	mu_us stop = stop_ms * MU_US_PER_MS, most = stop / MARGIN_DIVISOR;
+
 	s->began = s->idle_since = now;
-	s->min_drain = ADDRESS_TTL_FACTOR * address_ttl_ms * MU_US_PER_MS;
-	s->max_drain = ((mu_us)stop_ms - KILL_MARGIN_MS) * MU_US_PER_MS;
+	s->moved_by = now + ADDRESS_TTL_FACTOR * address_ttl_ms * MU_US_PER_MS;
+	s->exit_by = now + stop - earlier(KILL_MARGIN_US, most);
+	s->answer_by = s->exit_by - earlier(SEND_TIME_US, most);
 }
 
 bool
-mu_stop_poll(struct mu_stop *s, mu_us now, unsigned calls)
+mu_stop_accepts(const struct mu_stop *s, mu_us deadline)
 {
-	mu_us elapsed = now - s->began;
+	return s->began == 0 || deadline <= s->answer_by;
+}
 
-	if (calls > 0)
+enum mu_stop_step
+mu_stop_poll(struct mu_stop *s, mu_us now, unsigned requests)
+{
+	if (requests > 0)
 		s->idle_since = now;
-	return elapsed >= s->max_drain ||
-	       (elapsed >= s->min_drain &&
-		   now - s->idle_since >= MU_STOP_POLL_INTERVAL_US);
+	if (now >= s->exit_by)
+		return MU_STOP_EXIT;
+	if (requests == 0 &&
+	    (now >= s->answer_by ||
+		(now >= s->moved_by && now - s->idle_since >= MU_STOP_IDLE_US)))
+		return MU_STOP_EXIT;
+	return now >= s->answer_by ? MU_STOP_END_REQUESTS : MU_STOP_SERVE;
+}
+
+mu_us
+mu_stop_next_poll(const struct mu_stop *s, mu_us now)
+{
+	mu_us at = earlier(now + MU_STOP_IDLE_US, s->exit_by);
+
+	return now < s->answer_by ? earlier(at, s->answer_by) : at;
 }
--- a/src/stop.h
+++ b/src/stop.h
@@ -1,31 +1,45 @@
 /*
- * stop.h -- when a draining daemon may exit.
+ * stop.h -- a planned stop: which requests are still accepted, and when the
+ * daemon may exit.
  *
- * For a planned stop under traffic.  Callers cache an address and use open
- * connections for a while, so the daemon keeps serving until they have had time
- * to move away and no call has been in progress for MU_STOP_POLL_INTERVAL_US,
- * but it exits before the platform would kill it.  Pure functions.
+ * Callers cache an address and use open connections for a while, so the daemon
+ * keeps serving until they have had time to move away and no request has been
+ * in progress for MU_STOP_IDLE_US.  It exits before the platform would kill it,
+ * and no request may be in progress then.  So it accepts only requests whose
+ * time ends before that; what is left then, from before the stop, gets its
+ * final answer.  Pure functions.
  */
 #ifndef MU_STOP_H
 #define MU_STOP_H
 
 #include "musher.h"
 
-/* Poll interval, and the time without calls that is required to exit. */
-#define MU_STOP_POLL_INTERVAL_US (100 * MU_US_PER_MS)
+/* Time without requests that is required to exit, and the poll interval. */
+#define MU_STOP_IDLE_US (100 * MU_US_PER_MS)
 
 struct mu_stop {
 	mu_us began; /* 0: the daemon is not draining */
-	mu_us idle_since; /* no call in progress since then */
-	mu_us min_drain; /* callers may still arrive for this long */
-	mu_us max_drain; /* exit after this even if calls are in progress */
+	mu_us idle_since; /* no request in progress since then */
+	mu_us moved_by; /* callers may still arrive until then */
+	mu_us answer_by; /* every request has its final answer by then */
+	mu_us exit_by; /* exit even if answers have not been sent */
+};
+
+enum mu_stop_step {
+	MU_STOP_SERVE,
+	MU_STOP_END_REQUESTS, /* give those in progress their final answer */
+	MU_STOP_EXIT
 };
 
 /* Callers cache an address for address_ttl_ms; the platform kills the process
  * after stop_ms. */
 void mu_stop_begin(
     struct mu_stop *s, mu_us now, uint32_t address_ttl_ms, uint32_t stop_ms);
-/* Whether the daemon may exit now; calls: number in progress. */
-bool mu_stop_poll(struct mu_stop *s, mu_us now, unsigned calls);
+/* Whether a request that has its final answer by deadline may be accepted. */
+bool mu_stop_accepts(const struct mu_stop *s, mu_us deadline);
+/* What to do now, with this number of requests in progress. */
+enum mu_stop_step mu_stop_poll(struct mu_stop *s, mu_us now, unsigned requests);
+/* When to poll next. */
+mu_us mu_stop_next_poll(const struct mu_stop *s, mu_us now);
 
 #endif
