--- a/src/call.c
+++ b/src/call.c
@@ -34,6 +34,7 @@
 #define TURN_START_TIMEOUT_US (1 * MU_US_PER_S)
 #define RETRY_AFTER_OUTAGE_MS 400
 #define RETRY_AFTER_OVERLOAD_MS 250
+#define RETRY_AFTER_STOPPING_MS 1 /* at once: other daemons serve */
 /* Some turns end within this time, and a caller can retry several times. */
 #define RETRY_AFTER_NEW_PROGRAM_MS 350
 
@@ -597,7 +598,8 @@
 		return;
 	set_deadline(c);
 	if (!mu_stop_accepts(&s->stop, c->deadline)) {
-		mu_call_end_with_error(c, 503, 0, "daemon_stopping");
+		mu_call_end_with_error(
+		    c, 503, RETRY_AFTER_STOPPING_MS, "daemon_stopping");
 		return;
 	}
 	/* That of a turn that continues needs its history first. */
@@ -644,7 +646,8 @@
 	cds_list_for_each_entry (c, &s->calls, in_progress)
 		if (c->state != ST_ANSWERED) {
 			mu_attempt_cancel(c, MU_HEALTH_BUSY);
-			mu_call_fail(c, 0, "daemon_stopping");
+			mu_call_fail(
+			    c, RETRY_AFTER_STOPPING_MS, "daemon_stopping");
 		}
 }
 
--- a/src/inbound.c
+++ b/src/inbound.c
@@ -16,6 +16,7 @@
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "inbound.h"
 #include "log.h"
@@ -482,6 +483,17 @@
 	in->leaving = true;
 }
 
+void
+mu_in_stop_listening(struct mu_inbound *in)
+{
+	MHD_socket fd;
+
+	(void)MHD_run(in->daemon); /* accepts those that wait */
+	fd = MHD_quiesce_daemon(in->daemon);
+	if (fd != MHD_INVALID_SOCKET)
+		(void)close(fd);
+}
+
 unsigned
 mu_in_requests(const struct mu_inbound *in)
 {
--- a/src/inbound.h
+++ b/src/inbound.h
@@ -79,6 +79,8 @@
 void mu_in_close(struct mu_inbound *in);
 /* Answers from now on carry "Connection: close". */
 void mu_in_drain(struct mu_inbound *in);
+/* Refuses new connections; requests on open ones are still served. */
+void mu_in_stop_listening(struct mu_inbound *in);
 /* Number of requests that were read whole and are not answered whole. */
 unsigned mu_in_requests(const struct mu_inbound *in);
 /* Number of open connections. */
--- a/src/stop.c
+++ b/src/stop.c
@@ -26,6 +26,7 @@
 	mu_us stop = stop_ms * MU_US_PER_MS, most = stop / MARGIN_DIVISOR;
 
 	s->began = s->idle_since = now;
+	s->closed_at = 0;
 	s->moved_by = now + ADDRESS_TTL_FACTOR * address_ttl_ms * MU_US_PER_MS;
 	s->exit_by = now + stop - earlier(KILL_MARGIN_US, most);
 	s->answer_by = s->exit_by - earlier(SEND_TIME_US, most);
@@ -40,13 +41,18 @@
 enum mu_stop_step
 mu_stop_poll(struct mu_stop *s, mu_us now, unsigned requests)
 {
+	bool idle, close;
+
 	if (requests > 0)
 		s->idle_since = now;
-	if (now >= s->exit_by)
-		return MU_STOP_EXIT;
-	if (requests == 0 &&
-	    (now >= s->answer_by ||
-		(now >= s->moved_by && now - s->idle_since >= MU_STOP_IDLE_US)))
+	idle = now - s->idle_since >= MU_STOP_IDLE_US;
+	close = now >= s->answer_by || (now >= s->moved_by && idle);
+	if (close && s->closed_at == 0) {
+		s->closed_at = now;
+		return MU_STOP_CLOSE;
+	}
+	if (now >= s->exit_by || (s->closed_at != 0 && requests == 0 &&
+				     now - s->closed_at >= MU_STOP_IDLE_US))
 		return MU_STOP_EXIT;
 	return now >= s->answer_by ? MU_STOP_END_REQUESTS : MU_STOP_SERVE;
 }
--- a/src/stop.h
+++ b/src/stop.h
@@ -4,10 +4,11 @@
  *
  * Callers cache an address and use open connections for a while, so the daemon
  * keeps serving until they have had time to move away and no request has been
- * in progress for MU_STOP_IDLE_US.  It exits before the platform would kill it,
- * and no request may be in progress then.  So it accepts only requests whose
- * time ends before that; what is left then, from before the stop, gets its
- * final answer.  Pure functions.
+ * in progress for MU_STOP_IDLE_US.  Then it stops listening, serves what comes
+ * on open connections for as long again, and exits.  It exits before the
+ * platform would kill it, and no request may be in progress then.  So it
+ * accepts only requests whose time ends before that; what is left then, from
+ * before the stop, gets its final answer.  Pure functions.
  */
 #ifndef MU_STOP_H
 #define MU_STOP_H
@@ -21,12 +22,14 @@
 	mu_us began; /* 0: the daemon is not draining */
 	mu_us idle_since; /* no request in progress since then */
 	mu_us moved_by; /* callers may still arrive until then */
+	mu_us closed_at; /* told to stop listening; 0: not yet */
 	mu_us answer_by; /* every request has its final answer by then */
 	mu_us exit_by; /* exit even if answers have not been sent */
 };
 
 enum mu_stop_step {
 	MU_STOP_SERVE,
+	MU_STOP_CLOSE, /* stop listening */
 	MU_STOP_END_REQUESTS, /* give those in progress their final answer */
 	MU_STOP_EXIT
 };
--- a/test/fault/fault_stop.c
+++ b/test/fault/fault_stop.c
@@ -74,7 +74,7 @@
 	unsigned next_id;
 	mu_us term_at; /* SIGTERM was sent; 0: not yet */
 	mu_us exit_at; /* the process was gone */
-	unsigned answered, refused, failed, unread, cut;
+	unsigned answered, refused, failed, unread, cut, not_connected;
 	unsigned answered_late, refused_late, slow_refusals;
 } t;
 
@@ -253,6 +253,28 @@
 
 /* Callers. */
 
+static void
+end_call(struct caller *c, bool closes)
+{
+	c->call = NULL;
+	c->next_at = mu_loop_now(t.loop) + c->gap_ms * MU_US_PER_MS;
+	mu_buf_consume(&c->conn->in, mu_buf_len(&c->conn->in));
+	if (closes) {
+		kit_caller_free(c->conn);
+		c->conn = NULL;
+	}
+}
+
+/* Whether the daemon accepted the connection. */
+static bool
+is_connected(const struct kit_caller *c)
+{
+	struct sockaddr_in peer;
+	socklen_t len = sizeof(peer);
+
+	return getpeername(c->watch.fd, (struct sockaddr *)&peer, &len) == 0;
+}
+
 static void
 send_request(struct caller *c)
 {
@@ -273,11 +295,16 @@
 	    "POST %s HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\n%s"
 	    "Content-Length: 2\r\n\r\nin",
 	    paths[c->kind], call->id, limit);
-	if (c->conn == NULL)
-		c->conn = kit_caller_open(t.loop, t.addr, request);
-	else
+	if (c->conn != NULL) {
 		(void)!send(
 		    c->conn->watch.fd, request, strlen(request), MSG_NOSIGNAL);
+		return;
+	}
+	c->conn = kit_caller_open(t.loop, t.addr, request);
+	if (!is_connected(c->conn)) {
+		t.not_connected++;
+		end_call(c, true);
+	}
 }
 
 /* Whether the answer is complete as its framing says. */
@@ -357,13 +384,7 @@
 		count_answer(c, status);
 	else
 		count_closed(c);
-	c->call = NULL;
-	c->next_at = mu_loop_now(t.loop) + c->gap_ms * MU_US_PER_MS;
-	mu_buf_consume(&c->conn->in, mu_buf_len(&c->conn->in));
-	if (closes) {
-		kit_caller_free(c->conn);
-		c->conn = NULL;
-	}
+	end_call(c, closes);
 }
 
 static void
@@ -410,10 +431,12 @@
 	for (i = 0; i < CALLERS; i++)
 		if (t.caller[i].call != NULL)
 			poll_caller(&t.caller[i]);
-	print_message("%u answered (%u sent in the grace), %u refused (%u), %u "
-		      "failed, %u unread, %u cut; exit after %d ms\n",
+	print_message(
+	    "%u answered (%u sent in the grace), %u refused (%u), %u "
+	    "failed, %u unread, %u not connected, %u cut; exit after %d ms\n",
 	    t.answered, t.answered_late, t.refused, t.refused_late, t.failed,
-	    t.unread, t.cut, (int)((t.exit_at - t.term_at) / MU_US_PER_MS));
+	    t.unread, t.not_connected, t.cut,
+	    (int)((t.exit_at - t.term_at) / MU_US_PER_MS));
 	assert_in_range((t.exit_at - t.term_at) / MU_US_PER_MS, 0, STOP_MS - 1);
 }
 
@@ -454,6 +477,8 @@
 	assert_int_equal(t.failed, 0);
 	assert_int_equal(t.slow_refusals, 0);
 	assert_true(t.answered_late > 0);
+	/* New connections were refused before the process exited. */
+	assert_true(t.not_connected > CALLERS);
 }
 
 static void
--- a/test/test_stop.c
+++ b/test/test_stop.c
@@ -11,6 +11,8 @@
 #define TTL_MS 800
 #define STOP_MS 8000
 #define LIMIT_MS 3000 /* time of a request */
+/* From the end of listening to the exit. */
+#define CLOSED_MS (MU_STOP_IDLE_US / MU_US_PER_MS)
 #define START (50 * MU_US_PER_S)
 
 /* Milliseconds until the daemon exits if requests are in progress up to
@@ -38,14 +40,14 @@
 test_stays_while_callers_may_come(void **state)
 {
 	(void)state;
-	assert_int_equal(ends_after(0, STOP_MS, true), 3 * TTL_MS);
+	assert_int_equal(ends_after(0, STOP_MS, true), 3 * TTL_MS + CLOSED_MS);
 }
 
 static void
 test_waits_for_calls_in_progress(void **state)
 {
 	(void)state;
-	assert_int_equal(ends_after(4000, STOP_MS, true), 4000);
+	assert_int_equal(ends_after(4000, STOP_MS, true), 4000 + CLOSED_MS);
 }
 
 /* With a request that never ends, exits before the platform kills the process,
