--- a/test/fault/fault_stop.c
+++ b/test/fault/fault_stop.c
@@ -18,6 +18,7 @@
 #include "tablekit.h"
 
 #define ENDPOINTS 2 /* of each of the two services */
+#define SLOTS 32 /* of an endpoint */
 #define CALLERS 16
 #define STOP_MS 4000
 #define ADDRESS_TTL_MS 400
@@ -65,6 +66,8 @@
 	struct memstore *mem;
 	struct tablekit store;
 	struct mu_inbound *endpoints[2 * ENDPOINTS];
+	char endpoint_addr[2 * ENDPOINTS][MU_ADDR_LEN];
+	unsigned sequence; /* of endpoints' rows */
 	struct proc *daemon;
 	char addr[MU_ADDR_LEN];
 	char ready[MU_ADDR_LEN];
@@ -166,27 +169,35 @@
 	mem_put(t.mem, table, "", key, text, strlen(text));
 }
 
+static void
+publish_endpoint(unsigned i, unsigned slots)
+{
+	char row[512], name[16];
+
+	(void)snprintf(name, sizeof(name), "i-%u", i);
+	(void)snprintf(row, sizeof(row),
+	    "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z\","
+	    "\"slots\":%u,\"state\":\"ready\",\"sequence\":%u}",
+	    i < ENDPOINTS ? "llm" : "app", t.endpoint_addr[i], slots,
+	    ++t.sequence);
+	put_row("servers", name, row);
+}
+
 static void
 open_endpoint(unsigned i)
 {
 	struct mu_in_conf c = {0};
 	struct mu_error e;
-	char addr[MU_ADDR_LEN], row[512], name[16];
 
-	kit_unused_addr(addr);
-	c.listen = addr;
+	kit_unused_addr(t.endpoint_addr[i]);
+	c.listen = t.endpoint_addr[i];
 	c.max_body = 1 << 22;
 	c.max_connections = 400;
 	c.idle_s = 30;
 	c.hooks.request = on_endpoint_request;
 	c.hooks.closed = on_endpoint_closed;
 	assert_int_equal(mu_in_open(&t.endpoints[i], t.loop, &c, &e), 0);
-	(void)snprintf(name, sizeof(name), "i-%u", i);
-	(void)snprintf(row, sizeof(row),
-	    "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z\","
-	    "\"slots\":32,\"state\":\"ready\",\"sequence\":1}",
-	    i < ENDPOINTS ? "llm" : "app", addr);
-	put_row("servers", name, row);
+	publish_endpoint(i, SLOTS);
 }
 
 /* The daemon. */
@@ -494,6 +505,25 @@
 	assert_true(t.answered_late > 0);
 }
 
+/* More orders than the endpoints have slots: some wait when the stop begins,
+ * and at each later step of it. */
+static void
+test_no_order_is_cut_at_full_endpoints(void **state)
+{
+	unsigned i;
+
+	(void)state;
+	t.work_ms = 200;
+	for (i = 0; i < 2 * ENDPOINTS; i++)
+		publish_endpoint(i, 3);
+	kit_run_ms(t.loop, 1000); /* the daemon polls the endpoints' rows */
+	add_callers(0, CALLERS, KIND_ORDER, 1);
+	stop_daemon();
+	assert_int_equal(t.cut, 0);
+	assert_int_equal(t.failed, 0);
+	assert_true(t.answered_late > 0);
+}
+
 static void
 test_no_turn_is_cut(void **state)
 {
@@ -574,6 +604,7 @@
 #define T(name) cmocka_unit_test_setup_teardown(name, setup, teardown)
 	    T(test_no_order_is_cut_at_the_end_of_the_grace),
 	    T(test_no_order_is_cut_at_a_slow_endpoint),
+	    T(test_no_order_is_cut_at_full_endpoints),
 	    T(test_no_turn_is_cut),
 	    T(test_no_order_is_cut_in_an_outage_of_the_store),
 	    T(test_no_order_on_a_kept_connection_is_cut),
