Test: a cut answer of an endpoint is never taken as whole

Another operator of a system like this one saw an engine stop within its answer's head, and callers got a 200 with an empty or short body. The test closes and resets a new and a kept connection after each byte of answers in 18 forms (with a length, in chunks, ended by their connection, after a 1xx or a foreign answer, with folded lines, bare LF, lower-case names, no digest): 1323 cuts for each of the four, 5292 in all. None is taken as whole; the code was right.

--- a/test/test_upstream.c
+++ b/test/test_upstream.c
@@ -465,6 +465,135 @@
 	assert_int_equal(f->unreachable, 0);
 }
 
+/* Answers that end with their length or last chunk, and with their connection.
+ */
+struct answer_form {
+	const char *text;
+	bool ends_with_connection;
+};
+
+#define CUT_HEAD "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\n"
+
+static const struct answer_form answer_forms[] = {
+    {CUT_HEAD "Server-Signature: s1\r\nContent-Length: 12\r\n\r\n"
+	      "twelve bytes",
+	false},
+    {CUT_HEAD "Server-Signature: s1\r\n\r\nto the end", true},
+    {CUT_HEAD "Content-Length: 0\r\n\r\n", false},
+    {CUT_HEAD "Transfer-Encoding: chunked\r\n\r\n"
+	      "6;x=y\r\ntwelve\r\n6\r\n bytes\r\n0\r\n\r\n",
+	false},
+    {CUT_HEAD "Transfer-Encoding: chunked\r\nTrailer: A\r\n\r\n"
+	      "6\r\ntwelve\r\n0\r\nA: b\r\nServer-Signature: s\r\n\r\n",
+	false},
+    {"HTTP/1.1 100 Continue\r\n\r\n" CUT_HEAD "Content-Length: 2\r\n\r\nhi",
+	false},
+    {"HTTP/1.1 103 Early\r\nLink: <a>\r\n\r\n" CUT_HEAD "\r\nto the end", true},
+    {CUT_HEAD "Server-Signature: a\r\n b\r\nContent-Length:\r\n 2\r\n\r\n"
+	      "hi",
+	false},
+    {"HTTP/1.1 200 OK\nRequest-Id: $ID\nContent-Length: 2\n\nhi", false},
+    {"HTTP/1.1 200 OK\nRequest-Id: $ID\n\nto the end", true},
+    {"HTTP/1.1 200 OK\r\nrequest-id: $ID\r\ncontent-length: 2\r\n\r\nhi",
+	false},
+    {"HTTP/1.1 200 OK\r\nrequest-id: $ID\r\ntransfer-encoding: "
+     "chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+	false},
+    {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", false},
+    {"HTTP/1.1 200 OK\r\n\r\n", true},
+    {"HTTP/1.0 200 OK\r\nRequest-Id: $ID\r\n\r\nto the end", true},
+    {CUT_HEAD "Connection: close\r\nContent-Length: 2\r\n\r\nhi", false},
+    {FOREIGN CUT_HEAD "Content-Length: 2\r\n\r\nhi", false},
+    {FOREIGN CUT_HEAD "\r\nto the end", true},
+};
+
+/* Whether the first n bytes of a form, ended by a close, are a whole answer. */
+static bool
+is_whole(const struct answer_form *form, size_t n, bool reset)
+{
+	const char *own = strstr(form->text, "200 OK"), *foreign, *body;
+
+	if (!form->ends_with_connection)
+		return n == strlen(form->text);
+	foreign = strstr(own, FOREIGN + strlen("HTTP/1.1 "));
+	if (foreign != NULL)
+		own = strstr(foreign + 1, "200 OK");
+	body = strstr(own, "\r\n\r\n");
+	n -= body != NULL ? strlen("\r\n\r\n") : strlen("\n\n");
+	if (body == NULL)
+		body = strstr(own, "\n\n");
+	return !reset && (ssize_t)n >= body - form->text;
+}
+
+/* Runs an exchange whose answer is the first n bytes of a form. */
+static void
+check_cut_answer(struct fixture *f, const struct answer_form *form, size_t n,
+    bool kept, bool reset)
+{
+	char *text = strndup(form->text, n);
+	struct kit_step s[] = {{OK_KEPT, false, false}, {text, !reset, reset}};
+	bool whole = is_whole(form, n, reset);
+
+	if (kept) {
+		f->end->steps = s;
+		f->end->requests = 0;
+		f->pool->reuse_limit = MU_US_PER_S;
+		run_exchange(f);
+		assert_int_equal(f->outcome, MU_UP_COMPLETE);
+	}
+	f->end->steps = s + 1;
+	f->end->nsteps = 1;
+	f->end->requests = 0;
+	run_exchange(f);
+	if ((f->outcome == MU_UP_COMPLETE) != whole)
+		fail_msg("%s after %zu bytes of: %s",
+		    mu_up_end_name(f->outcome), n, form->text);
+	assert_true(f->sent);
+	assert_int_equal(f->end->requests, 1);
+	free(text);
+	f->end->nsteps = 2;
+}
+
+/* Guards against part of an answer taken as whole: the endpoint closes or
+ * resets its connection after each byte, also within the head, of answers in
+ * all their forms. */
+static void
+check_cut_answers(struct fixture *f, bool kept, bool reset)
+{
+	static const struct kit_step s[] = {{OK_KEPT, false, false}};
+	size_t i, n, cuts = 0;
+
+	start_endpoint(f, s, 1);
+	for (i = 0; i < sizeof(answer_forms) / sizeof(*answer_forms); i++)
+		for (n = 0; n <= strlen(answer_forms[i].text); n++, cuts++)
+			check_cut_answer(f, &answer_forms[i], n, kept, reset);
+	print_message("%zu cuts\n", cuts);
+}
+
+static void
+test_part_of_an_answer_is_not_whole(void **state)
+{
+	check_cut_answers(*state, false, false);
+}
+
+static void
+test_part_of_an_answer_before_a_reset(void **state)
+{
+	check_cut_answers(*state, false, true);
+}
+
+static void
+test_part_of_an_answer_on_a_kept_connection(void **state)
+{
+	check_cut_answers(*state, true, false);
+}
+
+static void
+test_part_of_an_answer_before_a_reset_of_a_kept_connection(void **state)
+{
+	check_cut_answers(*state, true, true);
+}
+
 int
 main(void)
 {
@@ -486,6 +615,10 @@
 	    T(test_probe_is_kept_for_the_next_exchange),
 	    T(test_probe_finds_a_dead_endpoint),
 	    T(test_probe_ends_with_its_pool),
+	    T(test_part_of_an_answer_is_not_whole),
+	    T(test_part_of_an_answer_before_a_reset),
+	    T(test_part_of_an_answer_on_a_kept_connection),
+	    T(test_part_of_an_answer_before_a_reset_of_a_kept_connection),
 #undef T
 	};
 
