--- a/src/upstream.c
+++ b/src/upstream.c
@@ -297,6 +297,14 @@
 	}
 }
 
+/* What http-parser does after a head: other than in its other callbacks, 1 is
+ * no error. */
+enum after_head {
+	HAS_BODY = 0,
+	NO_BODY = 1,
+	MALFORMED = -1
+};
+
 static int
 parse_headers(http_parser *hp)
 {
@@ -308,9 +316,9 @@
 	size_t i;
 
 	if (hp->status_code / 100 == 1)
-		return 0;
+		return HAS_BODY;
 	if (header_text_add(x, "", 1) != 0)
-		return 1;
+		return MALFORMED;
 	for (i = 0; i < x->nheaders; i++) {
 		headers[i].name = x->header_text.p + x->name_at[i];
 		headers[i].value = x->header_text.p + x->value_at[i];
@@ -319,11 +327,12 @@
 	x->skipping = owner == MU_UP_FOREIGN;
 	x->last = owner == MU_UP_OWN_LAST;
 	if (x->skipping)
-		return ++x->skipped > MAX_SKIPPED_ANSWERS ? 1 : 0;
+		return ++x->skipped > MAX_SKIPPED_ANSWERS ? MALFORMED
+							  : HAS_BODY;
 	read_keep_alive(x, headers, x->nheaders);
 	x->answer_started = true;
 	x->hooks.head(x->hooks.arg, &head);
-	return x->cancelled ? 1 : 0;
+	return x->cancelled ? MALFORMED : HAS_BODY;
 }
 
 static int
--- a/test/test_upstream.c
+++ b/test/test_upstream.c
@@ -594,6 +594,54 @@
 	check_cut_answers(*state, true, true);
 }
 
+/* Guards against an answer without a head: header fields of any total length,
+ * also just at the limit, are delivered or the answer is malformed. */
+static void
+test_header_fields_at_the_limit(void **state)
+{
+	static char text[10000];
+	const struct kit_step s[] = {{text, true, false}};
+	struct fixture *f = *state;
+	unsigned heads;
+	int n, whole = 0;
+
+	start_endpoint(f, s, 1);
+	for (n = 8100; n < 8200; n++) {
+		(void)snprintf(text, sizeof(text),
+		    "HTTP/1.1 200 OK\r\nX-Long: %0*d\r\nContent-Length: "
+		    "2\r\n\r\nhi",
+		    n, 0);
+		heads = f->heads;
+		run_exchange(f);
+		if (f->outcome == MU_UP_COMPLETE) {
+			assert_int_equal(f->heads, heads + 1);
+			assert_int_equal(mu_buf_len(&f->body), 2);
+			whole++;
+		} else {
+			assert_int_equal(f->outcome, MU_UP_MALFORMED);
+			assert_int_equal(f->heads, heads);
+		}
+	}
+	assert_in_range(whole, 1, 99);
+}
+
+/* Guards against a foreign answer's body taken for an answer, when there are
+ * more foreign answers than are skipped. */
+static void
+test_many_foreign_answers(void **state)
+{
+	static const struct kit_step s[] = {{FOREIGN FOREIGN FOREIGN
+	    "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: "
+	    "60\r\n\r\n" OK_KEPT,
+	    false, false}};
+	struct fixture *f = *state;
+
+	start_endpoint(f, s, 1);
+	run_exchange(f);
+	assert_int_equal(f->outcome, MU_UP_MALFORMED);
+	assert_int_equal(f->heads, 0);
+}
+
 int
 main(void)
 {
@@ -615,6 +663,8 @@
 	    T(test_probe_is_kept_for_the_next_exchange),
 	    T(test_probe_finds_a_dead_endpoint),
 	    T(test_probe_ends_with_its_pool),
+	    T(test_header_fields_at_the_limit),
+	    T(test_many_foreign_answers),
 	    T(test_part_of_an_answer_is_not_whole),
 	    T(test_part_of_an_answer_before_a_reset),
 	    T(test_part_of_an_answer_on_a_kept_connection),
