--- a/src/upstream.c
+++ b/src/upstream.c
@@ -316,7 +316,7 @@
 	size_t i;
 
 	if (hp->status_code / 100 == 1)
-		return HAS_BODY;
+		return NO_BODY;
 	if (header_text_add(x, "", 1) != 0)
 		return MALFORMED;
 	for (i = 0; i < x->nheaders; i++) {
--- a/test/test_upstream.c
+++ b/test/test_upstream.c
@@ -642,6 +642,34 @@
 	assert_int_equal(f->heads, 0);
 }
 
+/* Guards against bytes after an interim answer's head taken for the start of
+ * the answer's body: interim answers have no body. */
+static void
+test_interim_answer_has_no_body(void **state)
+{
+	static const struct kit_step s[] = {
+	    {"HTTP/1.1 102 Processing\r\nContent-Length: 3\r\n\r\nbad" OK_KEPT,
+		false, false},
+	    {"HTTP/1.1 103 Early\r\nTransfer-Encoding: chunked\r\n\r\n"
+	     "3\r\nbad\r\n0\r\n\r\n" OK_KEPT,
+		false, false},
+	    {"HTTP/1.1 103 Early\r\nContent-Length: 3\r\n\r\n" OK_KEPT, false,
+		false}};
+	struct fixture *f = *state;
+
+	start_endpoint(f, s, 3);
+	run_exchange(f);
+	assert_int_equal(f->outcome, MU_UP_MALFORMED);
+	assert_int_equal(f->heads, 0);
+	assert_int_equal(mu_buf_len(&f->body), 0);
+	run_exchange(f);
+	assert_int_equal(f->outcome, MU_UP_MALFORMED);
+	assert_int_equal(mu_buf_len(&f->body), 0);
+	run_exchange(f);
+	assert_int_equal(f->outcome, MU_UP_COMPLETE);
+	assert_int_equal(mu_buf_len(&f->body), 2);
+}
+
 int
 main(void)
 {
@@ -665,6 +693,7 @@
 	    T(test_probe_ends_with_its_pool),
 	    T(test_header_fields_at_the_limit),
 	    T(test_many_foreign_answers),
+	    T(test_interim_answer_has_no_body),
 	    T(test_part_of_an_answer_is_not_whole),
 	    T(test_part_of_an_answer_before_a_reset),
 	    T(test_part_of_an_answer_on_a_kept_connection),
