Upstream, attempt: answers to HEAD, 204 and 304 have no body

What callers saw: 504 at the route's time limit for each HEAD whose answer gives a length or chunks, and for a 304 with a length, though the endpoint had answered at once; for HEAD on a streaming route, a last chunk behind the head, which stands where the next answer on the connection begins.

Cause: http-parser doesn't know the request's method and goes by the length; libmicrohttpd ends a stream with its last chunk also for HEAD.

Evidence: test_answers_without_a_body and test_head_has_no_body fail on the code of before.

The parser is told that no body follows, and an answer to HEAD isn't forwarded as a stream. A foreign answer before one to HEAD ends the exchange, since nobody can tell where it ends.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -214,8 +214,10 @@
 		c->first_byte_at = mu_loop_now(c->s->loop);
 		mu_observe(MU_H_FIRST_TEXT, c->first_byte_at - c->arrived);
 	}
+	/* An answer to HEAD has no events. */
 	c->forwarding = c->route->kind == MU_ROUTE_STREAM && c->status == 200 &&
-			c->is_signed && c->is_attributed;
+			c->is_signed && c->is_attributed &&
+			strcmp(c->req.method, "HEAD") != 0;
 	if (c->streaming) /* the caller has the first attempt's head */
 		return;
 	copy_headers(c, head);
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -56,6 +56,8 @@
  * skipped answers. */
 #define MAX_OVERHEAD_BYTES ((size_t)256 << 10)
 #define MAX_HEADER_BYTES 8192
+#define STATUS_NO_CONTENT 204
+#define STATUS_NOT_MODIFIED 304
 
 /* A connection and, while it is busy, the exchange that uses it. */
 struct mu_up_exchange {
@@ -77,6 +79,7 @@
 	bool used; /* carries or carried an exchange */
 	bool reused; /* carried an earlier exchange */
 	bool last; /* not kept after this exchange */
+	bool is_head; /* the request's method is HEAD */
 	unsigned skipped;
 	mu_us started_at; /* start of the exchange */
 	size_t overhead_bytes; /* received outside the answer's body */
@@ -305,6 +308,18 @@
 	MALFORMED = -1
 };
 
+/* Answers to HEAD, 204 and 304 have no body, whatever length they give.
+ * http-parser doesn't know the method, and for the others goes by the length.
+ */
+static enum after_head
+body_follows(const struct mu_up_exchange *x, int status)
+{
+	return x->is_head || status == STATUS_NO_CONTENT ||
+		       status == STATUS_NOT_MODIFIED
+		   ? NO_BODY
+		   : HAS_BODY;
+}
+
 static int
 parse_headers(http_parser *hp)
 {
@@ -326,13 +341,15 @@
 	owner = x->hooks.owner(x->hooks.arg, &head);
 	x->skipping = owner == MU_UP_FOREIGN;
 	x->last = owner == MU_UP_OWN_LAST;
+	/* Whether a foreign answer to HEAD has a body can't be known. */
 	if (x->skipping)
-		return ++x->skipped > MAX_SKIPPED_ANSWERS ? MALFORMED
-							  : HAS_BODY;
+		return ++x->skipped > MAX_SKIPPED_ANSWERS || x->is_head
+			   ? MALFORMED
+			   : HAS_BODY;
 	read_keep_alive(x, headers, x->nheaders);
 	x->answer_started = true;
 	x->hooks.head(x->hooks.arg, &head);
-	return x->cancelled ? MALFORMED : HAS_BODY;
+	return x->cancelled ? MALFORMED : body_follows(x, hp->status_code);
 }
 
 static int
@@ -623,6 +640,7 @@
 	x->hooks = *hooks;
 	x->busy = x->used = true;
 	x->last = false;
+	x->is_head = strcmp(req->method, "HEAD") == 0;
 	x->sent = x->skipping = x->complete = x->answer_started = false;
 	x->skipped = 0;
 	x->overhead_bytes = 0;
--- a/test/test_answers.c
+++ b/test/test_answers.c
@@ -50,7 +50,7 @@
 	char addr[MU_ADDR_LEN];
 	char mesh[MU_ADDR_LEN];
 	struct kit_endpoint *end;
-	unsigned ncalls; /* gives each request its own path */
+	unsigned ncalls; /* gives each request a path that no other has */
 };
 
 static bool
@@ -154,6 +154,7 @@
 	bool whole; /* the answer ends where its framing says */
 	char head[1024];
 	char body[1024];
+	size_t nbody; /* bytes after the head */
 };
 
 /* Copies the chunks' data; false if there is no last chunk. */
@@ -193,7 +194,7 @@
 	    out->head, sizeof(out->head), "%.*s", (int)(body - text + 2), text);
 	assert_int_equal(sscanf(text, "HTTP/1.%*c %d", &out->status), 1);
 	body += 4;
-	n = len - (size_t)(body - text);
+	n = out->nbody = len - (size_t)(body - text);
 	if (kit_header(out->head, "Transfer-Encoding", value, sizeof(value))) {
 		out->whole = read_chunks(body, text + len, out);
 		return;
@@ -426,6 +427,52 @@
 	check_cuts(*state, &turn);
 }
 
+/* What a caller gets for a request whose endpoint sends this answer. */
+static void
+ask(struct fixture *f, const char *request, const char *answer, bool close,
+    struct seen *out)
+{
+	struct kit_step s[] = {{answer, close, false}};
+	struct kit_caller *c;
+
+	script(f, s, 1);
+	c = kit_caller_open(f->loop, f->addr, request);
+	(void)kit_until(f->loop, ANSWER_LIMIT_MS,
+	    (look_at(c, out), c->closed || out->whole));
+	kit_run_ms(f->loop, 5); /* for bytes after the answer */
+	look_at(c, out);
+	kit_caller_free(c);
+}
+
+/* Guards against HEAD answered after the time limit, and against bytes of a
+ * body behind its answer, which the caller takes for the next one. */
+static void
+test_head_has_no_body(void **state)
+{
+	static const char *const paths[] = {"look", "talk", "check", "chat"};
+	static const char *const answers[] = {
+	    HEAD("200 OK") "Content-Length: 4\r\n\r\n",
+	    HEAD("200 OK") "Transfer-Encoding: chunked\r\n\r\n",
+	    HEAD("200 OK") "\r\n"};
+	struct fixture *f = *state;
+	char request[256];
+	struct seen seen;
+	unsigned i, j;
+
+	for (i = 0; i < sizeof(paths) / sizeof(*paths); i++)
+		for (j = 0; j < sizeof(answers) / sizeof(*answers); j++) {
+			(void)snprintf(request, sizeof(request),
+			    "HEAD /%s/%u HTTP/1.1\r\nHost: h\r\n"
+			    "Request-Id: r1\r\n\r\n",
+			    paths[i], f->ncalls++);
+			ask(f, request, answers[j], false, &seen);
+			assert_int_equal(seen.status, 200);
+			assert_non_null(
+			    strstr(seen.head, "Server-Signature: s1"));
+			assert_int_equal(seen.nbody, 0);
+		}
+}
+
 int
 main(void)
 {
@@ -436,6 +483,7 @@
 	    T(test_cut_stream_looks_cut),
 	    T(test_cut_stream_is_resumed_without_a_gap),
 	    T(test_cut_turn_looks_cut),
+	    T(test_head_has_no_body),
 #undef T
 	};
 
--- a/test/test_upstream.c
+++ b/test/test_upstream.c
@@ -670,6 +670,43 @@
 	assert_int_equal(mu_buf_len(&f->body), 2);
 }
 
+/* Guards against waiting for a body that never comes: the answers to HEAD, 204
+ * and 304 have none, whatever length they give. */
+static void
+test_answers_without_a_body(void **state)
+{
+	static const struct {
+		const char *method;
+		struct kit_step step;
+	} cases[] = {
+	    {"HEAD", {CUT_HEAD "Content-Length: 4\r\n\r\n", false, false}},
+	    {"HEAD",
+		{CUT_HEAD "Transfer-Encoding: chunked\r\n\r\n", false, false}},
+	    {"HEAD", {CUT_HEAD "\r\n", false, false}},
+	    {"GET", {"HTTP/1.1 304 Not Modified\r\nRequest-Id: $ID\r\n"
+		     "Content-Length: 4\r\n\r\n",
+			false, false}},
+	    {"GET", {"HTTP/1.1 204 No Content\r\nRequest-Id: $ID\r\n"
+		     "Transfer-Encoding: chunked\r\n\r\n",
+			false, false}},
+	};
+	struct fixture *f = *state;
+	struct mu_up_hooks h = {f, owner, on_head, on_body, on_end};
+	struct mu_up_req r = {NULL, "/a", "Request-Id: r1\r\n", "", 0, false};
+	unsigned i;
+
+	start_endpoint(f, &cases[0].step, 1);
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		f->end->steps = &cases[i].step;
+		r.method = cases[i].method;
+		assert_non_null(mu_up_start(f->pool, &r, &h));
+		assert_true(kit_until(f->loop, 500, f->ends == i + 1));
+		assert_int_equal(f->outcome, MU_UP_COMPLETE);
+		assert_int_equal(mu_buf_len(&f->body), 0);
+	}
+	assert_int_equal(f->end->accepted, 1);
+}
+
 int
 main(void)
 {
@@ -694,6 +731,7 @@
 	    T(test_header_fields_at_the_limit),
 	    T(test_many_foreign_answers),
 	    T(test_interim_answer_has_no_body),
+	    T(test_answers_without_a_body),
 	    T(test_part_of_an_answer_is_not_whole),
 	    T(test_part_of_an_answer_before_a_reset),
 	    T(test_part_of_an_answer_on_a_kept_connection),
