Upstream: an answer with a status below 100 is malformed

What callers saw: their connection closed without an answer, after an endpoint had answered with a status such as 20.

Cause: http-parser takes one or two digits for a status, and libmicrohttpd refuses to send it.

Evidence: test_status_below_100 fails on the code of before.

Such an answer now ends the exchange as malformed: 502, or another attempt where the request may be repeated.

--- a/src/upstream.c
+++ b/src/upstream.c
@@ -56,6 +56,7 @@
  * skipped answers. */
 #define MAX_OVERHEAD_BYTES ((size_t)256 << 10)
 #define MAX_HEADER_BYTES 8192
+#define LOWEST_STATUS 100
 #define STATUS_NO_CONTENT 204
 #define STATUS_NOT_MODIFIED 304
 
@@ -330,6 +331,8 @@
 	enum mu_up_owner owner;
 	size_t i;
 
+	if (hp->status_code < LOWEST_STATUS)
+		return MALFORMED;
 	if (hp->status_code / 100 == 1)
 		return NO_BODY;
 	if (header_text_add(x, "", 1) != 0)
--- a/test/test_upstream.c
+++ b/test/test_upstream.c
@@ -707,6 +707,25 @@
 	assert_int_equal(f->end->accepted, 1);
 }
 
+/* Guards against a status that no answer to a caller can have. */
+static void
+test_status_below_100(void **state)
+{
+	static const struct kit_step s[] = {
+	    {"HTTP/1.1 20 OK\r\nContent-Length: 2\r\n\r\nhi", false, false},
+	    {"HTTP/1.1 99 OK\r\nContent-Length: 2\r\n\r\nhi", false, false},
+	    {"HTTP/1.1 0 OK\r\nContent-Length: 2\r\n\r\nhi", false, false}};
+	struct fixture *f = *state;
+	unsigned i;
+
+	start_endpoint(f, s, 3);
+	for (i = 0; i < 3; i++) {
+		run_exchange(f);
+		assert_int_equal(f->outcome, MU_UP_MALFORMED);
+	}
+	assert_int_equal(f->heads, 0);
+}
+
 int
 main(void)
 {
@@ -732,6 +751,7 @@
 	    T(test_many_foreign_answers),
 	    T(test_interim_answer_has_no_body),
 	    T(test_answers_without_a_body),
+	    T(test_status_below_100),
 	    T(test_part_of_an_answer_is_not_whole),
 	    T(test_part_of_an_answer_before_a_reset),
 	    T(test_part_of_an_answer_on_a_kept_connection),
