Upstream: white space after a header's value is no part of it

What callers saw: 504 at the time limit, though the endpoint had answered, if it wrote a space or tab after the request's id; an order had then run and its caller didn't learn so.

Cause: http-parser drops white space before a value only, so the id differed from the request's and the answer was skipped as a foreign one.

Evidence: test_white_space_after_a_value fails on the code of before.

Values are delivered without it, as RFC 9112 (5.1) asks.

--- a/src/upstream.c
+++ b/src/upstream.c
@@ -301,6 +301,19 @@
 	}
 }
 
+/* Ends the value at offset `at` before its trailing white space, which
+ * http-parser leaves in place. */
+static const char *
+trimmed_value(struct mu_up_exchange *x, size_t at)
+{
+	char *value = x->header_text.p + at;
+	size_t n = strlen(value);
+
+	while (n > 0 && (value[n - 1] == ' ' || value[n - 1] == '\t'))
+		value[--n] = '\0';
+	return value;
+}
+
 /* What http-parser does after a head: other than in its other callbacks, 1 is
  * no error. */
 enum after_head {
@@ -339,7 +352,7 @@
 		return MALFORMED;
 	for (i = 0; i < x->nheaders; i++) {
 		headers[i].name = x->header_text.p + x->name_at[i];
-		headers[i].value = x->header_text.p + x->value_at[i];
+		headers[i].value = trimmed_value(x, x->value_at[i]);
 	}
 	owner = x->hooks.owner(x->hooks.arg, &head);
 	x->skipping = owner == MU_UP_FOREIGN;
--- a/test/test_upstream.c
+++ b/test/test_upstream.c
@@ -726,6 +726,23 @@
 	assert_int_equal(f->heads, 0);
 }
 
+/* Guards against an answer taken for a foreign one: white space after a value
+ * is no part of it. */
+static void
+test_white_space_after_a_value(void **state)
+{
+	static const struct kit_step s[] = {
+	    {"HTTP/1.1 200 OK\r\nRequest-Id: \t$ID \t \r\nContent-Length: 2 "
+	     "\r\n\r\nhi",
+		false, false}};
+	struct fixture *f = *state;
+
+	start_endpoint(f, s, 1);
+	run_exchange(f);
+	assert_int_equal(f->outcome, MU_UP_COMPLETE);
+	assert_memory_equal(mu_buf_data(&f->body), "hi", 2);
+}
+
 int
 main(void)
 {
@@ -752,6 +769,7 @@
 	    T(test_interim_answer_has_no_body),
 	    T(test_answers_without_a_body),
 	    T(test_status_below_100),
+	    T(test_white_space_after_a_value),
 	    T(test_part_of_an_answer_is_not_whole),
 	    T(test_part_of_an_answer_before_a_reset),
 	    T(test_part_of_an_answer_on_a_kept_connection),
