--- a/src/upstream.c
+++ b/src/upstream.c
@@ -314,6 +314,15 @@
 	return value;
 }
 
+/* Whether a header names a transfer coding other than chunked.  Requests ask
+ * for none, and the caller would get the coded body without this header. */
+static bool
+is_other_coding(const struct mu_header *h)
+{
+	return strcasecmp(h->name, "Transfer-Encoding") == 0 &&
+	       strcasecmp(h->value, "chunked") != 0;
+}
+
 /* What http-parser does after a head: other than in its other callbacks, 1 is
  * no error. */
 enum after_head {
@@ -353,6 +362,8 @@
 	for (i = 0; i < x->nheaders; i++) {
 		headers[i].name = x->header_text.p + x->name_at[i];
 		headers[i].value = trimmed_value(x, x->value_at[i]);
+		if (is_other_coding(&headers[i]))
+			return MALFORMED;
 	}
 	owner = x->hooks.owner(x->hooks.arg, &head);
 	x->skipping = owner == MU_UP_FOREIGN;
--- a/test/test_upstream.c
+++ b/test/test_upstream.c
@@ -743,6 +743,34 @@
 	assert_memory_equal(mu_buf_data(&f->body), "hi", 2);
 }
 
+/* Guards against an encoded body passed on without the header that says so. */
+static void
+test_other_transfer_codings(void **state)
+{
+	static const struct kit_step s[] = {
+	    {CUT_HEAD "Transfer-Encoding: gzip\r\n\r\nhi", true, false},
+	    {CUT_HEAD "Transfer-Encoding: gzip, chunked\r\n\r\n"
+		      "2\r\nhi\r\n0\r\n\r\n",
+		false, false},
+	    {CUT_HEAD "Transfer-Encoding: gzip\r\nTransfer-Encoding: "
+		      "chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+		false, false},
+	    {CUT_HEAD "Transfer-Encoding: Chunked\r\n\r\n"
+		      "2\r\nhi\r\n0\r\n\r\n",
+		false, false}};
+	struct fixture *f = *state;
+	unsigned i;
+
+	start_endpoint(f, s, 4);
+	for (i = 0; i < 3; i++) {
+		run_exchange(f);
+		assert_int_equal(f->outcome, MU_UP_MALFORMED);
+	}
+	run_exchange(f);
+	assert_int_equal(f->outcome, MU_UP_COMPLETE);
+	assert_memory_equal(mu_buf_data(&f->body), "hi", 2);
+}
+
 int
 main(void)
 {
@@ -770,6 +798,7 @@
 	    T(test_answers_without_a_body),
 	    T(test_status_below_100),
 	    T(test_white_space_after_a_value),
+	    T(test_other_transfer_codings),
 	    T(test_part_of_an_answer_is_not_whole),
 	    T(test_part_of_an_answer_before_a_reset),
 	    T(test_part_of_an_answer_on_a_kept_connection),
