--- a/test/test_answers.c
+++ b/test/test_answers.c
@@ -473,6 +473,83 @@
 		}
 }
 
+#define ORDER \
+	"POST /order/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n" \
+	"Content-Length: 3\r\n\r\nkit"
+#define TALK(version, more) \
+	"POST /talk/x HTTP/" version "\r\nHost: h\r\nRequest-Id: r1\r\n" more \
+	"Content-Length: 3\r\n\r\nkit"
+#define EMPTY_DIGEST \
+	"HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nServer-Signature: \r\n"
+
+/* Guards against a success without a digest: an empty one is none. */
+static void
+test_empty_digest_is_none(void **state)
+{
+	struct fixture *f = *state;
+	struct seen seen;
+
+	ask(f, ORDER, EMPTY_DIGEST "Content-Length: 4\r\n\r\ndone", false,
+	    &seen);
+	assert_int_equal(seen.status, 502);
+	ask(f, TALK("1.1", ""),
+	    EMPTY_DIGEST
+	    "Transfer-Encoding: chunked\r\n\r\n" PIECE("1") "0\r\n\r\n",
+	    false, &seen);
+	assert_int_equal(seen.status, 502);
+}
+
+/* Guards against a status, body or digest that is changed on the way. */
+static void
+test_answer_is_passed_on_unchanged(void **state)
+{
+	struct fixture *f = *state;
+	char answer[512];
+	struct seen seen;
+	unsigned status;
+
+	for (status = 200; status < 1000; status++) {
+		if (status == 204 || status == 304 || status == 408 ||
+		    status == 421 || status == 429 || status == 503)
+			continue;
+		(void)snprintf(answer, sizeof(answer),
+		    "HTTP/1.1 %u Name\r\nRequest-Id: $ID\r\n"
+		    "Server-Signature: a\tb  c\r\nServer-Signature: s2\r\n"
+		    "Content-Length: 4\r\n\r\ndone",
+		    status);
+		ask(f, ORDER, answer, false, &seen);
+		assert_int_equal(seen.status, status);
+		assert_true(seen.whole);
+		assert_string_equal(seen.body, "done");
+		assert_non_null(
+		    strstr(seen.head, "Server-Signature: a\tb  c\r\n"));
+		assert_non_null(strstr(seen.head, "Server-Signature: s2\r\n"));
+	}
+}
+
+/* As above, for those that have no body.  These may have a length. */
+static void
+test_answer_without_body_is_passed_on(void **state)
+{
+	static const int statuses[] = {204, 304};
+	struct fixture *f = *state;
+	char answer[512];
+	struct seen seen;
+	unsigned i;
+
+	for (i = 0; i < sizeof(statuses) / sizeof(*statuses); i++) {
+		(void)snprintf(answer, sizeof(answer),
+		    HEAD("%d Name") "Content-Length: 4\r\n\r\n", statuses[i]);
+		ask(f, ORDER, answer, false, &seen);
+		assert_int_equal(seen.status, statuses[i]);
+		assert_int_equal(seen.nbody, 0);
+		assert_non_null(strstr(seen.head, "Server-Signature: s1\r\n"));
+		ask(f, TALK("1.1", ""), answer, false, &seen);
+		assert_int_equal(seen.status, statuses[i]);
+		assert_int_equal(seen.nbody, 0);
+	}
+}
+
 int
 main(void)
 {
@@ -484,6 +561,9 @@
 	    T(test_cut_stream_is_resumed_without_a_gap),
 	    T(test_cut_turn_looks_cut),
 	    T(test_head_has_no_body),
+	    T(test_empty_digest_is_none),
+	    T(test_answer_is_passed_on_unchanged),
+	    T(test_answer_without_body_is_passed_on),
 #undef T
 	};
 
