--- a/src/account.c
+++ b/src/account.c
@@ -494,6 +494,25 @@
 			mu_account_schedule_return(p);
 }
 
+static bool
+settled(struct program *p)
+{
+	return !p->request_in_flight && cds_list_empty(&p->waiters) &&
+	       cds_list_empty(&p->reservations) && p->unresolved.number == 0 &&
+	       mu_ledger_returnable(&p->ledger, true) == 0;
+}
+
+bool
+mu_accounts_settled(const struct mu_accounts *a)
+{
+	struct program *p;
+
+	cds_list_for_each_entry (p, &a->all, all)
+		if (!settled(p))
+			return false;
+	return true;
+}
+
 static struct cached_segment *
 find_segment(struct program *p, const char *segment)
 {
--- a/src/account.h
+++ b/src/account.h
@@ -76,5 +76,8 @@
     char *const *segments, size_t n, struct mu_cache_location *out);
 /* The daemon shuts down: unused budget is returned as turns end. */
 void mu_accounts_drain(struct mu_accounts *a);
+/* Whether no turn holds or awaits a reservation, of other daemons' turns too,
+ * and no budget is left to be returned. */
+bool mu_accounts_settled(const struct mu_accounts *a);
 
 #endif
--- a/src/home.c
+++ b/src/home.c
@@ -107,6 +107,12 @@
 	mu_accounts_drain(h->accounts);
 }
 
+bool
+mu_home_settled(const struct mu_home *h)
+{
+	return mu_accounts_settled(h->accounts);
+}
+
 /* The end of a turn. */
 
 static void
--- a/src/home.h
+++ b/src/home.h
@@ -75,6 +75,9 @@
     const struct mu_settlement *s);
 /* The daemon shuts down: unused budget is returned as turns end. */
 void mu_home_drain(struct mu_home *h);
+/* Whether all turns that reserved here have ended and their budget is returned.
+ */
+bool mu_home_settled(const struct mu_home *h);
 
 /* Handle Begin and Settle frames of other daemons. */
 void mu_home_on_begin(
--- a/src/stop.c
+++ b/src/stop.c
@@ -39,11 +39,11 @@
 }
 
 enum mu_stop_step
-mu_stop_poll(struct mu_stop *s, mu_us now, unsigned requests)
+mu_stop_poll(struct mu_stop *s, mu_us now, unsigned requests, bool settled)
 {
 	bool idle, close;
 
-	if (requests > 0)
+	if (requests > 0 || !settled)
 		s->idle_since = now;
 	idle = now - s->idle_since >= MU_STOP_IDLE_US;
 	close = now >= s->answer_by || (now >= s->moved_by && idle);
@@ -51,8 +51,9 @@
 		s->closed_at = now;
 		return MU_STOP_CLOSE;
 	}
-	if (now >= s->exit_by || (s->closed_at != 0 && requests == 0 &&
-				     now - s->closed_at >= MU_STOP_IDLE_US))
+	if (now >= s->exit_by ||
+	    (s->closed_at != 0 && requests == 0 && settled &&
+		now - s->closed_at >= MU_STOP_IDLE_US))
 		return MU_STOP_EXIT;
 	return now >= s->answer_by ? MU_STOP_END_REQUESTS : MU_STOP_SERVE;
 }
--- a/src/stop.h
+++ b/src/stop.h
@@ -8,7 +8,12 @@
  * on open connections for as long again, and exits.  It exits before the
  * platform would kill it, and no request may be in progress then.  So it
  * accepts only requests whose time ends before that; what is left then, from
- * before the stop, gets its final answer.  Pure functions.
+ * before the stop, gets its final answer.
+ *
+ * Turns at other daemons may have reserved their budget here (home.c).  The
+ * exit waits until they have settled and the rest is returned to the store, as
+ * what a daemon that is gone has drawn is lost to the programs.  Pure
+ * functions.
  */
 #ifndef MU_STOP_H
 #define MU_STOP_H
@@ -20,7 +25,7 @@
 
 struct mu_stop {
 	mu_us began; /* 0: the daemon is not draining */
-	mu_us idle_since; /* no request in progress since then */
+	mu_us idle_since; /* no request, and all settled, since then */
 	mu_us moved_by; /* callers may still arrive until then */
 	mu_us closed_at; /* told to stop listening; 0: not yet */
 	mu_us answer_by; /* every request has its final answer by then */
@@ -40,8 +45,10 @@
     struct mu_stop *s, mu_us now, uint32_t address_ttl_ms, uint32_t stop_ms);
 /* Whether a request that has its final answer by deadline may be accepted. */
 bool mu_stop_accepts(const struct mu_stop *s, mu_us deadline);
-/* What to do now, with this number of requests in progress. */
-enum mu_stop_step mu_stop_poll(struct mu_stop *s, mu_us now, unsigned requests);
+/* What to do now, with this number of requests in progress; settled: no budget
+ * is reserved or left to be returned. */
+enum mu_stop_step
+mu_stop_poll(struct mu_stop *s, mu_us now, unsigned requests, bool settled);
 /* When to poll next. */
 mu_us mu_stop_next_poll(const struct mu_stop *s, mu_us now);
 
--- a/test/test_stop.c
+++ b/test/test_stop.c
@@ -31,7 +31,7 @@
 		if (now >= START + busy_ms * MU_US_PER_MS ||
 		    (step == MU_STOP_END_REQUESTS && ends))
 			requests = 0;
-		step = mu_stop_poll(&s, now, requests);
+		step = mu_stop_poll(&s, now, requests, true);
 	}
 	return (now - START) / MU_US_PER_MS;
 }
@@ -66,6 +66,28 @@
 	}
 }
 
+/* Guards against budget that is lost with a home that exits before the turns of
+ * other daemons have settled; but it may not be killed for one that never does.
+ */
+static void
+test_waits_for_settlements(void **state)
+{
+	struct mu_stop s = {0};
+	mu_us now = START, end = START + STOP_MS * MU_US_PER_MS;
+
+	(void)state;
+	mu_stop_begin(&s, START, TTL_MS, STOP_MS);
+	for (; now < START + 4 * TTL_MS * MU_US_PER_MS; now += MU_STOP_IDLE_US)
+		assert_int_equal(
+		    mu_stop_poll(&s, now, 0, false), MU_STOP_SERVE);
+	assert_int_equal(mu_stop_poll(&s, now, 0, true), MU_STOP_CLOSE);
+	now += MU_STOP_IDLE_US;
+	assert_int_equal(mu_stop_poll(&s, now, 0, true), MU_STOP_EXIT);
+	while (mu_stop_poll(&s, now, 0, false) != MU_STOP_EXIT)
+		now = mu_stop_next_poll(&s, now);
+	assert_true(now < end);
+}
+
 /* Guards against requests that are cut when the process exits. */
 static void
 test_accepts_only_what_ends_before_the_exit(void **state)
@@ -84,10 +106,10 @@
 	assert_false(mu_stop_accepts(&s, START + STOP_MS * MU_US_PER_MS));
 	assert_false(mu_stop_accepts(&s, MU_US_NEVER));
 	/* One that is accepted is over when the others are ended. */
-	assert_int_equal(mu_stop_poll(&s, last, 1), MU_STOP_SERVE);
-	while (mu_stop_poll(&s, last, 1) == MU_STOP_SERVE)
+	assert_int_equal(mu_stop_poll(&s, last, 1, true), MU_STOP_SERVE);
+	while (mu_stop_poll(&s, last, 1, true) == MU_STOP_SERVE)
 		last += MU_US_PER_MS;
-	assert_int_equal(mu_stop_poll(&s, last, 1), MU_STOP_END_REQUESTS);
+	assert_int_equal(mu_stop_poll(&s, last, 1, true), MU_STOP_END_REQUESTS);
 	assert_false(mu_stop_accepts(&s, last + 1));
 }
 
@@ -98,6 +120,7 @@
 	    cmocka_unit_test(test_stays_while_callers_may_come),
 	    cmocka_unit_test(test_waits_for_calls_in_progress),
 	    cmocka_unit_test(test_ends_before_it_is_killed),
+	    cmocka_unit_test(test_waits_for_settlements),
 	    cmocka_unit_test(test_accepts_only_what_ends_before_the_exit),
 	};
 
