--- a/src/inbound.c
+++ b/src/inbound.c
@@ -140,6 +140,20 @@
 	    headers, n);
 }
 
+/* Ends a stream before its end.  HTTP/1.0 has no chunks: only a reset tells a
+ * stream that is broken off from a whole one.  libmicrohttpd would shut the
+ * connection down first, so that the caller reads an end before the reset. */
+static ssize_t
+break_off(struct mu_in_req *r)
+{
+	static const struct sockaddr none = {.sa_family = AF_UNSPEC};
+
+	if (r->is_http10) /* on a connected socket this sends a reset */
+		(void)connect(
+		    connection_fd(r->connection), &none, sizeof(none));
+	return MHD_CONTENT_READER_END_WITH_ERROR;
+}
+
 /* Gives libmicrohttpd the next bytes of a stream. */
 static ssize_t
 read_stream(
@@ -149,7 +163,7 @@
 	size_t n = mu_buf_len(&r->stream_buf);
 
 	if (r->aborted)
-		return MHD_CONTENT_READER_END_WITH_ERROR;
+		return break_off(r);
 	if (n > 0) {
 		if (n > max)
 			n = max;
@@ -158,7 +172,7 @@
 		return (ssize_t)n;
 	}
 	if (r->stream_truncated)
-		return MHD_CONTENT_READER_END_WITH_ERROR;
+		return break_off(r);
 	if (r->stream_ended)
 		return MHD_CONTENT_READER_END_OF_STREAM;
 	suspend(r);
@@ -236,8 +250,7 @@
 static enum MHD_Result
 on_access(void *cls __attribute__((unused)), struct MHD_Connection *connection,
     const char *url __attribute__((unused)), const char *method,
-    const char *version __attribute__((unused)), const char *data, size_t *size,
-    void **state)
+    const char *version, const char *data, size_t *size, void **state)
 {
 	struct mu_in_req *r = *state;
 
@@ -247,6 +260,7 @@
 		if (r->uri == NULL || r->arena == NULL)
 			return MHD_NO;
 		r->method = method;
+		r->is_http10 = strcmp(version, MHD_HTTP_VERSION_1_0) == 0;
 		r->has_body =
 		    mu_in_header(r, MHD_HTTP_HEADER_CONTENT_LENGTH) != NULL ||
 		    mu_in_header(r, MHD_HTTP_HEADER_TRANSFER_ENCODING) != NULL;
--- a/src/inbound.h
+++ b/src/inbound.h
@@ -65,6 +65,7 @@
 	bool watching;
 	bool suspended;
 	bool dispatched;
+	bool is_http10;
 	struct MHD_Response *response; /* created, not queued yet */
 	int status;
 	struct mu_buf stream_buf; /* bytes of a stream not sent yet */
--- a/test/sockkit.h
+++ b/test/sockkit.h
@@ -273,6 +273,7 @@
 	struct mu_watch watch;
 	struct mu_buf in;
 	bool closed; /* by the daemon */
+	bool reset; /* closed by a reset */
 };
 
 static inline void
@@ -285,6 +286,7 @@
 	(void)events;
 	if (n <= 0) {
 		c->closed = true;
+		c->reset = n < 0;
 		mu_watch_del(c->loop, &c->watch);
 		return;
 	}
--- a/test/test_answers.c
+++ b/test/test_answers.c
@@ -550,6 +550,49 @@
 	}
 }
 
+/* Guards against a stream that is broken off and looks whole to a caller that
+ * gets no chunks: a close without a reset ends it there. */
+static void
+check_broken_off_stream(struct fixture *f, const char *request, bool chunked)
+{
+	static const struct kit_step cut[] = {
+	    {CHUNKED PIECE("1") PIECE("2"), true, false}};
+	static const struct kit_step whole[] = {{STREAM, false, false}};
+	struct kit_caller *c;
+	struct seen seen;
+
+	script(f, cut, 1);
+	c = kit_caller_open(f->loop, f->addr, request);
+	assert_true(kit_until(f->loop, ANSWER_LIMIT_MS, c->closed));
+	look_at(c, &seen);
+	assert_int_equal(seen.status, 200);
+	assert_string_equal(seen.body, EVENT("1") EVENT("2"));
+	assert_true(chunked ? !seen.whole : c->reset);
+	kit_caller_free(c);
+	script(f, whole, 1);
+	c = kit_caller_open(f->loop, f->addr, request);
+	assert_true(kit_until(f->loop, ANSWER_LIMIT_MS, c->closed));
+	look_at(c, &seen);
+	assert_string_equal(seen.body, EVENT("1") EVENT("2") EVENT("3"));
+	assert_true(seen.whole && !c->reset);
+	kit_caller_free(c);
+}
+
+static void
+test_broken_off_stream_without_chunks(void **state)
+{
+	check_broken_off_stream(*state, TALK("1.0", ""), false);
+	check_broken_off_stream(
+	    *state, TALK("1.0", "Connection: keep-alive\r\n"), false);
+}
+
+static void
+test_broken_off_stream_on_a_last_connection(void **state)
+{
+	check_broken_off_stream(
+	    *state, TALK("1.1", "Connection: close\r\n"), true);
+}
+
 int
 main(void)
 {
@@ -564,6 +607,8 @@
 	    T(test_empty_digest_is_none),
 	    T(test_answer_is_passed_on_unchanged),
 	    T(test_answer_without_body_is_passed_on),
+	    T(test_broken_off_stream_without_chunks),
+	    T(test_broken_off_stream_on_a_last_connection),
 #undef T
 	};
 
