Tablestore: an answer cut within its head is no result

What would be seen: a write that the store had done, or does later, taken as refused, the list of changes read again from its start, or an operation given up as invalid, after a connection that closed within the head of a 503, 429, 410 or 403.

Cause: libcurl reports a connection that closes within the head as success with no body; http.c allows for it, this client did not.

One byte is left: libcurl doesn't wait for the last LF of a chunked answer, whose last chunk it has.

--- a/test/test_tablestore.c
+++ b/test/test_tablestore.c
@@ -265,6 +265,84 @@
 	free(deep);
 }
 
+#define ROWS \
+	"{\"rows\":[],\"truncated\":false,\"ver\":9,\"now_ms\":1}" /* 49 \
+								    */
+
+/* Answers of a store and what they mean once they are whole. */
+static const struct store_answer {
+	const char *text;
+	Mu__StoreResult__Status means;
+	size_t spare; /* last bytes that tell nothing */
+} store_answers[] = {
+    {"HTTP/1.1 200 OK\r\nContent-Length: 48\r\n\r\n" ROWS,
+	MU__STORE_RESULT__STATUS__DONE, 0},
+    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n30\r\n" ROWS
+     "\r\n0\r\n\r\n",
+	MU__STORE_RESULT__STATUS__DONE, 1},
+    {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" ROWS,
+	MU__STORE_RESULT__STATUS__DONE, 0},
+    {"HTTP/1.1 412 Precondition Failed\r\nContent-Length: 48\r\n\r\n" ROWS,
+	MU__STORE_RESULT__STATUS__CONFLICT, 0},
+    {"HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\n\r\n",
+	MU__STORE_RESULT__STATUS__REFUSED, 0},
+    {"HTTP/1.1 429 Many\r\nContent-Length: 2\r\n\r\n{}",
+	MU__STORE_RESULT__STATUS__REFUSED, 0},
+    {"HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n",
+	MU__STORE_RESULT__STATUS__HISTORY_GONE, 0},
+    {"HTTP/1.1 403 Forbidden\r\nContent-Length: 0\r\n\r\n",
+	MU__STORE_RESULT__STATUS__INVALID, 0},
+};
+
+/* Guards against part of a store's answer taken for its result: the store
+ * closes or resets its connection after each byte. */
+static void
+check_cut_results(struct fixture *f, bool reset)
+{
+	const struct store_answer *a = store_answers;
+	size_t i, n, cuts = 0, wrong = 0;
+	char *text;
+	struct kit_step step = {NULL, !reset, reset};
+	struct kit_endpoint *e = kit_endpoint(f->loop, &step, 1);
+	struct pf_store *client = pf_store_new(f->loop, e->addr);
+	Mu__StoreResult__Status want;
+
+	f->backend = pf_store_backend(client);
+	for (i = 0; i < sizeof(store_answers) / sizeof(*a); i++)
+		for (n = 0; n <= strlen(a[i].text); n++) {
+			if (reset && n + a[i].spare >= strlen(a[i].text))
+				continue;
+			text = strndup(a[i].text, n);
+			step.answer = text;
+			want = n + a[i].spare >= strlen(a[i].text)
+				   ? a[i].means
+				   : MU__STORE_RESULT__STATUS__UNKNOWN;
+			cuts++;
+			if (put(f, "a", "1", 0) != want) {
+				print_message("%d, not %d, after: %s\n",
+				    (int)f->status, (int)want, text);
+				wrong++;
+			}
+			free(text);
+		}
+	print_message("%zu cuts\n", cuts);
+	assert_int_equal(wrong, 0);
+	pf_store_free(client);
+	kit_endpoint_free(e);
+}
+
+static void
+test_part_of_an_answer_is_no_result(void **state)
+{
+	check_cut_results(*state, false);
+}
+
+static void
+test_part_of_an_answer_before_a_reset_is_no_result(void **state)
+{
+	check_cut_results(*state, true);
+}
+
 int
 main(void)
 {
@@ -275,6 +353,8 @@
 	    T(test_statuses),
 	    T(test_no_answer_is_unknown_and_no_connection_is_refused),
 	    T(test_odd_entry_hides_no_other),
+	    T(test_part_of_an_answer_is_no_result),
+	    T(test_part_of_an_answer_before_a_reset_is_no_result),
 #undef T
 	};
 
