Tablestore: a write that libcurl sends again after a loss is not refused

What would be seen: an operation reported as refused (nothing was done) that the store may have done.

Cause: on a kept connection that is lost before the answer, libcurl sends a request once more by itself, on a new connection. A 503 or 429 to the second says nothing about the first.

--- a/test/test_tablestore.c
+++ b/test/test_tablestore.c
@@ -343,6 +343,47 @@
 	check_cut_results(*state, true);
 }
 
+#define DONE_KEPT "HTTP/1.1 200 OK\r\nContent-Length: 48\r\n\r\n" ROWS
+
+/* A write is lost on a kept connection, and libcurl sends it once more by
+ * itself, which ends as given: nobody knows whether the first was done. */
+static void
+check_lost_write(struct fixture *f, const char *second)
+{
+	const struct kit_step steps[] = {{DONE_KEPT, false, false},
+	    {NULL, true, false}, {second, false, false}};
+	struct kit_endpoint *e = kit_endpoint(f->loop, steps, 3);
+	struct pf_store *client = pf_store_new(f->loop, e->addr);
+
+	f->backend = pf_store_backend(client);
+	assert_int_equal(put(f, "a", "1", 0), MU__STORE_RESULT__STATUS__DONE);
+	if (second == NULL) { /* the store is gone */
+		mu_watch_del(f->loop, &e->watch);
+		(void)close(e->watch.fd);
+		e->watch.fd = -1;
+	}
+	assert_int_equal(
+	    put(f, "a", "2", 1), MU__STORE_RESULT__STATUS__UNKNOWN);
+	assert_int_equal(e->requests, second != NULL ? 3 : 2);
+	pf_store_free(client);
+	kit_endpoint_free(e);
+}
+
+static void
+test_lost_write_and_a_refusal_is_unknown(void **state)
+{
+	check_lost_write(
+	    *state, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+	check_lost_write(
+	    *state, "HTTP/1.1 429 Many\r\nContent-Length: 0\r\n\r\n");
+}
+
+static void
+test_lost_write_and_no_connection_is_unknown(void **state)
+{
+	check_lost_write(*state, NULL);
+}
+
 int
 main(void)
 {
@@ -355,6 +396,8 @@
 	    T(test_odd_entry_hides_no_other),
 	    T(test_part_of_an_answer_is_no_result),
 	    T(test_part_of_an_answer_before_a_reset_is_no_result),
+	    T(test_lost_write_and_a_refusal_is_unknown),
+	    T(test_lost_write_and_no_connection_is_unknown),
 #undef T
 	};
 
