--- a/src/inbound.c
+++ b/src/inbound.c
@@ -225,17 +225,37 @@
 	return r;
 }
 
+/* Answers with a failure in place of an answer that cannot be sent, such as one
+ * whose status is not three digits. */
 static enum MHD_Result
-queue_response(struct mu_in_req *r)
+queue_failure(struct mu_in_req *r)
 {
+	struct MHD_Response *empty =
+	    MHD_create_response_from_buffer(0, NULL, MHD_RESPMEM_PERSISTENT);
 	enum MHD_Result rc;
 
-	rc =
-	    MHD_queue_response(r->connection, (unsigned)r->status, r->response);
-	MHD_destroy_response(r->response);
+	mu_log(MU_LOG_ERROR, "inbound", "answer_refused", "{s:i}", "status",
+	    r->status);
+	if (empty == NULL)
+		return MHD_NO;
+	rc = MHD_queue_response(r->connection, MHD_HTTP_BAD_GATEWAY, empty);
+	MHD_destroy_response(empty);
 	return rc;
 }
 
+static enum MHD_Result
+queue_response(struct mu_in_req *r)
+{
+	enum MHD_Result rc = MHD_NO;
+
+	/* A status below 200 would not end the request. */
+	if (r->status >= MHD_HTTP_OK)
+		rc = MHD_queue_response(
+		    r->connection, (unsigned)r->status, r->response);
+	MHD_destroy_response(r->response);
+	return rc == MHD_YES ? rc : queue_failure(r);
+}
+
 static enum MHD_Result
 append_body(struct mu_in_req *r, const char *data, size_t *size)
 {
--- a/test/test_call.c
+++ b/test/test_call.c
@@ -1675,6 +1675,23 @@
 	assert_int_equal(e->requests, 5);
 }
 
+/* Neither the parser nor the library counts this as an error of its own. */
+static void
+test_answer_with_an_impossible_status(void **state)
+{
+	static const struct kit_step s[] = {
+	    {HEAD("42 Odd") "Content-Length: 4\r\n\r\ndone", false, false},
+	    {HEAD("0 Odd") "Content-Length: 4\r\n\r\ndone", false, false},
+	    {PLAIN, false, false}};
+	struct fixture *f = *state;
+	struct kit_endpoint *e = add_endpoint(f, "app", s, 3);
+
+	wait_until_ready(f);
+	expect(f, ORDER("o1"), 2000, "HTTP/1.1 502 ");
+	expect(f, GET("/look/a", "r1"), 2000, "done");
+	assert_int_equal(e->requests, 3);
+}
+
 int
 main(void)
 {
@@ -1746,6 +1763,7 @@
 	    T(test_stored_id_without_customers),
 	    T(test_turn_of_no_customer_continues),
 	    T(test_rate_limit),
+	    T(test_answer_with_an_impossible_status),
 #undef T
 	};
 
