--- a/src/inbound.c
+++ b/src/inbound.c
@@ -24,7 +24,11 @@
 
 /* A caller that acknowledges no data for this long is disconnected. */
 #define ACK_TIMEOUT_MS 3000
-#define CONNECTION_MEMORY_BYTES ((size_t)32 * 1024) /* for headers */
+/* A request's head with the library's record of each field, and twice that for
+ * a connection, since the head of the answer comes from the same memory. */
+#define MAX_REQUEST_HEAD_BYTES ((size_t)32 * 1024)
+#define FIELD_RECORD_BYTES 64
+#define CONNECTION_MEMORY_BYTES (2 * MAX_REQUEST_HEAD_BYTES)
 #define STREAM_BLOCK_BYTES 4096
 
 struct mu_inbound {
@@ -267,8 +271,45 @@
 	return MHD_YES;
 }
 
+/* Whether the request's head takes memory that its answer may need. */
+static bool
+head_too_large(struct mu_in_req *r)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+	    r->connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+	const char *cookies = mu_in_header(r, MHD_HTTP_HEADER_COOKIE);
+	int fields = MHD_get_connection_values(r->connection,
+	    MHD_HEADER_KIND | MHD_FOOTER_KIND | MHD_COOKIE_KIND |
+		MHD_GET_ARGUMENT_KIND,
+	    NULL, NULL);
+	size_t n = (size_t)fields * FIELD_RECORD_BYTES;
+
+	if (info != NULL)
+		n += info->header_size;
+	if (cookies != NULL) /* the library keeps a copy */
+		n += strlen(cookies);
+	return n > MAX_REQUEST_HEAD_BYTES;
+}
+
+static void
+dispatch(struct mu_in_req *r)
+{
+	struct mu_inbound *in = r->in;
+
+	r->dispatched = true;
+	in->nrequests++;
+	MHD_set_connection_option(
+	    r->connection, MHD_CONNECTION_OPTION_TIMEOUT, 0U);
+	if (head_too_large(r))
+		mu_in_answer(r, MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE, NULL,
+		    0, NULL, 0);
+	else
+		in->conf.hooks.request(in->conf.hooks.arg, r);
+}
+
 static enum MHD_Result
-on_access(void *cls __attribute__((unused)), struct MHD_Connection *connection,
+on_access(void *cls __attribute__((unused)),
+    struct MHD_Connection *connection __attribute__((unused)),
     const char *url __attribute__((unused)), const char *method,
     const char *version, const char *data, size_t *size, void **state)
 {
@@ -292,11 +333,7 @@
 		return MHD_NO;
 	if (r->dispatched)
 		return r->response != NULL ? queue_response(r) : MHD_NO;
-	r->dispatched = true;
-	r->in->nrequests++;
-	MHD_set_connection_option(
-	    connection, MHD_CONNECTION_OPTION_TIMEOUT, 0U);
-	r->in->conf.hooks.request(r->in->conf.hooks.arg, r);
+	dispatch(r);
 	if (r->response != NULL)
 		return queue_response(r);
 	if (r->aborted)
