--- a/test/test_upstream.c
+++ b/test/test_upstream.c
@@ -273,6 +273,45 @@
 	assert_true(f->sent);
 }
 
+/* Too many answers to other requests: what follows must not be taken for the
+ * own answer, since it may be the body of one of them. */
+static void
+test_body_of_a_foreign_answer_is_no_answer(void **state)
+{
+	static const struct kit_step s[] = {
+	    {FOREIGN FOREIGN FOREIGN "HTTP/1.1 200 OK\r\nRequest-Id: other\r\n"
+				     "Content-Length: 56\r\n\r\n" OK_KEPT,
+		false, false}};
+	struct fixture *f = *state;
+
+	start_endpoint(f, s, 1);
+	run_exchange(f);
+	assert_int_equal(f->outcome, MU_UP_MALFORMED);
+	assert_int_equal(f->heads, 0);
+}
+
+/* A head that is one byte too long, at its last header, is not skipped. */
+static void
+test_head_at_the_limit(void **state)
+{
+	static char text[9000], value[8192];
+	static const struct kit_step s[] = {{text, false, false}};
+	struct fixture *f = *state;
+	size_t n;
+
+	start_endpoint(f, s, 1);
+	for (n = 8140; n < 8192; n++) {
+		memset(value, 'v', n);
+		(void)snprintf(text, sizeof(text),
+		    "HTTP/1.1 200 OK\r\nX: %.*s\r\nContent-Length: "
+		    "2\r\n\r\nhi",
+		    (int)n, value);
+		f->heads = 0;
+		run_exchange(f);
+		assert_int_equal(f->outcome == MU_UP_COMPLETE, f->heads == 1);
+	}
+}
+
 static void
 test_nobody_listens(void **state)
 {
@@ -784,6 +823,8 @@
 	    T(test_one_loss_ends_all_kept_connections),
 	    T(test_answers_without_length),
 	    T(test_no_answer_in_the_protocol),
+	    T(test_body_of_a_foreign_answer_is_no_answer),
+	    T(test_head_at_the_limit),
 	    T(test_nobody_listens),
 	    T(test_cancel_says_whether_it_was_sent),
 	    T(test_endless_bytes_end_the_exchange),
