--- a/test/test_stop.c
+++ b/test/test_stop.c
@@ -13,6 +13,7 @@
 #define LIMIT_MS 3000 /* time of a request */
 /* From the end of listening to the exit. */
 #define CLOSED_MS (MU_STOP_IDLE_US / MU_US_PER_MS)
+#define LAST_PART 6 /* requests may be ended in the last sixth of a stop */
 #define START (50 * MU_US_PER_S)
 
 /* Milliseconds until the daemon exits if requests are in progress up to
@@ -88,6 +89,25 @@
 	assert_true(now < end);
 }
 
+/* An endpoint may still answer until the last part of the time is
+ * reached, also if the time is short. */
+static void
+test_ends_no_request_early(void **state)
+{
+	struct mu_stop s;
+	uint32_t stop_ms;
+	mu_us last_part;
+
+	(void)state;
+	for (stop_ms = 100; stop_ms < 10000; stop_ms += 50) {
+		mu_stop_begin(&s, START, TTL_MS, stop_ms);
+		last_part = START + stop_ms * MU_US_PER_MS * (LAST_PART - 1) /
+					LAST_PART;
+		assert_int_equal(
+		    mu_stop_poll(&s, last_part - 1, 1, true), MU_STOP_SERVE);
+	}
+}
+
 /* Guards against requests that are cut when the process exits. */
 static void
 test_accepts_only_what_ends_before_the_exit(void **state)
@@ -121,6 +141,7 @@
 	    cmocka_unit_test(test_waits_for_calls_in_progress),
 	    cmocka_unit_test(test_ends_before_it_is_killed),
 	    cmocka_unit_test(test_waits_for_settlements),
+	    cmocka_unit_test(test_ends_no_request_early),
 	    cmocka_unit_test(test_accepts_only_what_ends_before_the_exit),
 	};
 
