--- a/src/chat.c
+++ b/src/chat.c
@@ -136,7 +136,6 @@
 	struct MHD_Response *response;
 	json_t *answer, *usage, *j;
 	json_int_t prompt, output;
-	enum MHD_Result rc;
 	char *text;
 
 	if (reply->status != 200)
@@ -161,7 +160,5 @@
 	MHD_add_response_header(
 	    response, MHD_HTTP_HEADER_CONTENT_TYPE, "application/json");
 	MHD_add_response_header(response, "Cardamom-Program", program);
-	rc = MHD_queue_response(r->connection, MHD_HTTP_OK, response);
-	MHD_destroy_response(response);
-	return rc;
+	return mu_web_queue(r, MHD_HTTP_OK, response);
 }
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -202,26 +202,48 @@
 			return;
 }
 
+static bool
+stop_timed_out(struct mu_daemon *d, mu_us started)
+{
+	return mu_now(&d->clock) - started > STOP_TIMEOUT_MS * MU_US_PER_MS;
+}
+
+/*
+ * Waits for the requests in progress.  Callers on kept connections may always
+ * have one, so that none of them may reach the handler at last: one that is
+ * read after the last look at the counter is refused and has not run.
+ */
+static void
+end_requests(struct mu_daemon *d, struct mu_web *caller_web, mu_us started)
+{
+	while (MU_ATOMIC_LOAD(d->board.requests) > 0 &&
+	       !stop_timed_out(d, started))
+		mu_sleep_ms(STOP_POLL_INTERVAL_MS);
+	mu_web_refuse(caller_web);
+	do
+		mu_sleep_ms(STOP_POLL_INTERVAL_MS);
+	while (MU_ATOMIC_LOAD(d->board.requests) > 0 &&
+	       !stop_timed_out(d, started));
+}
+
 /*
  * Announces the shutdown to callers and peers and hands slots over while
  * requests are still served.  New connections are accepted until address_ttl_ms
- * has passed, since callers may use a cached address until then.
+ * has passed, since callers may use a cached address until then; each answer
+ * ends its connection.
  */
 static void
 drain(struct mu_daemon *d, struct mu_web *caller_web)
 {
 	mu_us started = mu_now(&d->clock);
 	mu_us address_ttl = d->conf->address_ttl_ms * MU_US_PER_MS;
-	mu_us elapsed;
 
 	mu_log(MU_LOG_INFO, "daemon", "leaving", NULL);
+	mu_web_drain(caller_web);
 	MU_ATOMIC_STORE(d->board.stopping, true);
 	MU_ATOMIC_STORE(d->board.leaving, true);
-	for (;;) {
-		elapsed = mu_now(&d->clock) - started;
-		if (elapsed > STOP_TIMEOUT_MS * MU_US_PER_MS)
-			break;
-		if (elapsed > address_ttl &&
+	while (!stop_timed_out(d, started)) {
+		if (mu_now(&d->clock) - started > address_ttl &&
 		    MU_ATOMIC_LOAD(d->run_threads) == 0 &&
 		    (mu_slots_count_owned(d->slots) == 0 ||
 			mu_board_live_daemons(&d->board) <= 1))
@@ -230,9 +252,7 @@
 		mu_sleep_ms(STOP_POLL_INTERVAL_MS);
 	}
 	mu_web_quiesce(caller_web);
-	while (MU_ATOMIC_LOAD(d->board.requests) > 0 &&
-	       mu_now(&d->clock) - started < STOP_TIMEOUT_MS * MU_US_PER_MS)
-		mu_sleep_ms(STOP_POLL_INTERVAL_MS);
+	end_requests(d, caller_web, started);
 }
 
 /*
--- a/src/sseout.c
+++ b/src/sseout.c
@@ -188,7 +188,6 @@
 {
 	struct sse_response *e = calloc(1, sizeof(*e));
 	struct MHD_Response *response;
-	enum MHD_Result rc;
 
 	if (e == NULL)
 		return MHD_NO;
@@ -205,7 +204,5 @@
 	MHD_add_response_header(
 	    response, MHD_HTTP_HEADER_CONTENT_TYPE, "text/event-stream");
 	MHD_add_response_header(response, "Cardamom-Program", program);
-	rc = MHD_queue_response(r->connection, MHD_HTTP_OK, response);
-	MHD_destroy_response(response);
-	return rc;
+	return mu_web_queue(r, MHD_HTTP_OK, response);
 }
--- a/src/web.c
+++ b/src/web.c
@@ -25,11 +25,14 @@
 #define CONNECTION_MEMORY_BYTES 16384 /* mostly request headers */
 #define THREAD_STACK ((size_t)256 * 1024)
 #define INITIAL_BODY_BYTES 1024
+#define STOPPING_RETRY_AFTER_MS 1000 /* other daemons are up */
 
 struct mu_web {
 	struct MHD_Daemon *daemon;
 	struct mu_web_conf conf;
 	MHD_socket quiesced_socket;
+	bool draining; /* atomic, as is the next */
+	bool refusing;
 };
 
 /* Body of a request that is being received. */
@@ -40,14 +43,18 @@
 	bool too_large;
 };
 
-static enum MHD_Result
-queue_response(struct mu_web_req *r, int status, struct MHD_Response *response)
+enum MHD_Result
+mu_web_queue(
+    struct mu_web_req *r, unsigned status, struct MHD_Response *response)
 {
 	enum MHD_Result rc;
 
 	if (response == NULL)
 		return MHD_NO;
-	rc = MHD_queue_response(r->connection, (unsigned)status, response);
+	if (MU_ATOMIC_LOAD(r->web->draining))
+		MHD_add_response_header(
+		    response, MHD_HTTP_HEADER_CONNECTION, "close");
+	rc = MHD_queue_response(r->connection, status, response);
 	MHD_destroy_response(response);
 	return rc;
 }
@@ -64,7 +71,7 @@
 	if (response != NULL)
 		MHD_add_response_header(
 		    response, MHD_HTTP_HEADER_CONTENT_TYPE, type);
-	return queue_response(r, status, response);
+	return mu_web_queue(r, (unsigned)status, response);
 }
 
 enum MHD_Result
@@ -99,7 +106,7 @@
 	MHD_add_response_header(
 	    response, MHD_HTTP_HEADER_CONTENT_TYPE, "application/json");
 	add_retry_after(response, p->retry_after_ms);
-	return queue_response(r, p->status, response);
+	return mu_web_queue(r, (unsigned)p->status, response);
 }
 
 enum MHD_Result
@@ -199,6 +206,7 @@
 
 	MHD_set_connection_option(
 	    connection, MHD_CONNECTION_OPTION_TIMEOUT, 0U);
+	r.web = w;
 	r.connection = connection;
 	r.method = method;
 	r.path = path;
@@ -211,6 +219,11 @@
 		mu_fail(&e, MU_E_TOO_LARGE, MU_OUTCOME_NOT_RUN, 0,
 		    "the body is larger than %u bytes", w->conf.max_body);
 		rc = mu_web_error(&r, &e);
+	} else if (MU_ATOMIC_LOAD(w->refusing)) {
+		/* Only the owner knows whether an earlier copy has run. */
+		mu_fail(&e, MU_E_STOPPING, MU_OUTCOME_UNKNOWN,
+		    STOPPING_RETRY_AFTER_MS, "the daemon stops");
+		rc = mu_web_error(&r, &e);
 	} else {
 		rc = w->conf.handle(w->conf.arg, &r);
 	}
@@ -320,6 +333,18 @@
 	return 0;
 }
 
+void
+mu_web_drain(struct mu_web *w)
+{
+	MU_ATOMIC_STORE(w->draining, true);
+}
+
+void
+mu_web_refuse(struct mu_web *w)
+{
+	MU_ATOMIC_STORE(w->refusing, true);
+}
+
 void
 mu_web_quiesce(struct mu_web *w)
 {
--- a/src/web.h
+++ b/src/web.h
@@ -23,6 +23,7 @@
 	const char *body; /* NUL-terminated */
 	size_t len;
 	struct mu_arena *arena;
+	struct mu_web *web;
 };
 
 struct mu_web_conf {
@@ -37,10 +38,18 @@
 
 int mu_web_open(
     struct mu_web **w, const struct mu_web_conf *conf, struct mu_error *e);
+/* Answers from now on end their connections, so that callers go elsewhere. */
+void mu_web_drain(struct mu_web *w);
 /* Stops accepting connections; open ones continue. */
 void mu_web_quiesce(struct mu_web *w);
+/* Requests that have not reached the handler yet are answered with
+ * MU_E_STOPPING. */
+void mu_web_refuse(struct mu_web *w);
 void mu_web_close(struct mu_web *w);
 
+/* Queues a response, which is released. */
+enum MHD_Result mu_web_queue(
+    struct mu_web_req *r, unsigned status, struct MHD_Response *response);
 /* Queue a response; take over j and the malloc'd text. */
 enum MHD_Result mu_web_json(struct mu_web_req *r, int status, json_t *j);
 enum MHD_Result
