Test: part of an answer is not whole for http.c

The server closes and resets its connection after each byte of five answers, 456 cuts. None is taken as whole; the code was right. One byte is allowed: libcurl doesn't wait for the last LF of a chunked answer, whose last chunk it has.

--- a/test/test_http.c
+++ b/test/test_http.c
@@ -339,6 +339,65 @@
 	close(fd);
 }
 
+#define CUT_FORMS 5
+
+/* Guards against part of an answer taken as whole: the server closes or resets
+ * its connection after each byte. */
+static void
+test_part_of_an_answer_is_not_whole(void **state)
+{
+	static const struct {
+		const char *text;
+		bool ends_with_connection;
+		size_t spare; /* last bytes that tell nothing */
+	} forms[CUT_FORMS] = {
+	    {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", false, 0},
+	    {"HTTP/1.1 503 No\r\nContent-Length: 2\r\n\r\n{}", false, 0},
+	    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	     "2\r\n{}\r\n0\r\n\r\n",
+		false, 1},
+	    {"HTTP/1.1 200 OK\r\nX: y\r\n\r\n{}", true, 0},
+	    {"HTTP/1.1 100 Go on\r\n\r\nHTTP/1.1 200 OK\nContent-Length: "
+	     "0\n\n",
+		false, 0},
+	};
+	struct fake_step step[2];
+	struct mu_http_request q = post();
+	struct mu_http_response r;
+	size_t i, n, len, cuts = 0, whole_from;
+	char *text;
+	int k;
+
+	(void)state;
+	for (i = 0; i < CUT_FORMS; i++) {
+		len = strlen(forms[i].text);
+		whole_from = forms[i].ends_with_connection
+				 ? len - strlen("{}")
+				 : len - forms[i].spare;
+		for (n = 0; n <= len; n++) {
+			text = strndup(forms[i].text, n);
+			step[0].bytes = step[1].bytes = text;
+			step[0].action = FAKE_CLOSE;
+			step[1].action = FAKE_RESET;
+			fake_start(&server, step, 2);
+			q.addr = server.addr;
+			for (k = 0; k < 2; k++, cuts++) {
+				mu_http_run(&q, &r);
+				if (k == 0 && n >= whole_from)
+					assert_int_equal(
+					    r.result, MU_HTTP_COMPLETE);
+				else if (n < whole_from)
+					assert_int_equal(
+					    r.result, MU_HTTP_CONN_LOST);
+				mu_http_response_clear(&r);
+			}
+			fake_stop(&server);
+			free(text);
+		}
+	}
+	print_message("%zu cuts\n", cuts);
+}
+
 int
 main(void)
 {
@@ -346,6 +405,7 @@
 	    cmocka_unit_test(test_connection_closed_at_once),
 	    cmocka_unit_test(test_never_sent_again),
 	    cmocka_unit_test(test_answer_not_whole),
+	    cmocka_unit_test(test_part_of_an_answer_is_not_whole),
 	    cmocka_unit_test(test_interim_answer_and_retry_after),
 	    cmocka_unit_test(test_header_is_bounded),
 	    cmocka_unit_test(test_request_as_written),
