Test: stalled answers of endpoints are not whole

2015 answers that stop after each byte and leave their connection open, by class of request. No caller gets a success that is framed as whole; the code was right.

--- a/test/test_answers.c
+++ b/test/test_answers.c
@@ -14,7 +14,7 @@
 #include "sockkit.h"
 
 #define ANSWER_LIMIT_MS 3000
-#define STALLS_AT_ONCE 32 /* requests, below the limits of sockkit.h */
+#define STALLS_AT_ONCE 60 /* requests, below KIT_MAX_CONNS and the slots */
 #define HEAD(status) \
 	"HTTP/1.1 " status "\r\nRequest-Id: $ID\r\nServer-Signature: s1\r\n"
 #define PLAIN HEAD("200 OK") "Content-Length: 4\r\n\r\ndone"
@@ -23,6 +23,12 @@
 #define CHUNKED HEAD("200 OK") "Transfer-Encoding: chunked\r\n\r\n"
 #define STREAM CHUNKED PIECE("1") PIECE("2") PIECE("3") "0\r\n\r\n"
 
+/* Routes for answers that never end, with short limits. */
+#define STALL_ROUTE(name, type) \
+	"{\"name\":\"stall-" name "\",\"host\":\"h\"," \
+	"\"path_prefix\":\"/stall-" name "/\",\"type\":\"" type "\"," \
+	"\"timeout_ms\":100,\"service\":\"app\""
+
 static const char config[] =
     "{\"version\":3,\"routes\":["
     "{\"name\":\"chat\",\"host\":\"h\",\"path_prefix\":\"/chat/\","
@@ -35,11 +41,21 @@
     "\"resumable\":true},"
     "{\"name\":\"look\",\"host\":\"h\",\"path_prefix\":\"/look/\","
     "\"type\":\"safe\",\"timeout_ms\":300,\"service\":\"app\","
-    "\"max_attempts\":3},"
-    "{\"name\":\"order\",\"host\":\"h\",\"path_prefix\":\"/order/\","
-    "\"type\":\"unsafe\",\"timeout_ms\":300,\"service\":\"app\"}],"
-    "\"services\":[{\"name\":\"app\",\"engine\":{\"chunk_tokens\":17}}],"
-    "\"limits\":{\"idle_timeout_ms\":15000}}";
+    "\"max_attempts\":3}," STALL_ROUTE("chat",
+	"streaming") ",\"keeps_history\":true,"
+		     "\"retention_s\":60}," STALL_ROUTE(
+			 "talk", "streaming") "}," STALL_ROUTE("check",
+			 "streaming") ",\"resumable\":true}," STALL_ROUTE("loo"
+									  "k",
+			 "safe") "}," STALL_ROUTE("order",
+			 "unsafe") "},"
+				   "{\"name\":\"order\",\"host\":\"h\",\"path_"
+				   "prefix\":\"/order/\","
+				   "\"type\":\"unsafe\",\"timeout_ms\":300,"
+				   "\"service\":\"app\"}],"
+				   "\"services\":[{\"name\":\"app\",\"engine\":"
+				   "{\"chunk_tokens\":17}}],"
+				   "\"limits\":{\"idle_timeout_ms\":15000}}";
 
 struct fixture {
 	struct mu_clock clock;
@@ -427,6 +443,80 @@
 	check_cuts(*state, &turn);
 }
 
+static const struct request_class stalled_order = {
+    "order", POST("/stall-order/"), false, false};
+static const struct request_class stalled_lookup = {"lookup",
+    "GET /stall-look/%u HTTP/1.1\r\nHost: h\r\nRequest-Id: r%u\r\n\r\n", false,
+    true};
+static const struct request_class stalled_talk = {
+    "stream", POST("/stall-talk/"), true, false};
+static const struct request_class stalled_resumable = {
+    "resumable stream", POST("/stall-check/"), true, true};
+static const struct request_class stalled_turn = {
+    "turn", POST("/stall-chat/"), true, false};
+
+/* Runs requests at once whose answers stop after the given numbers of bytes and
+ * stay open. */
+static void
+check_stalls(struct fixture *f, const struct request_class *class,
+    const struct form *form, size_t from, size_t n)
+{
+	struct kit_step s[STALLS_AT_ONCE] = {0};
+	struct kit_caller *c[STALLS_AT_ONCE];
+	struct seen seen;
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		s[i].answer = strndup(form->text, from + i);
+	script(f, s, (unsigned)n);
+	for (i = 0; i < n; i++)
+		c[i] = start_call(f, class);
+	for (i = 0; i < n; i++) {
+		assert_true(kit_until(f->loop, ANSWER_LIMIT_MS,
+		    (look_at(c[i], &seen), c[i]->closed || seen.whole)));
+		if (seen.status / 100 == 2)
+			assert_false(seen.whole);
+		else
+			assert_int_equal(seen.status, 504);
+		assert_true(
+		    strncmp(seen.body, whole_stream, strlen(seen.body)) == 0 ||
+		    seen.status == 504);
+	}
+	assert_int_equal(f->end->requests, n);
+	for (i = 0; i < n; i++) {
+		kit_caller_free(c[i]);
+		free((char *)(uintptr_t)s[i].answer);
+	}
+}
+
+/* Guards against part of an answer that stalls taken as whole. */
+static void
+test_stalled_answer_is_not_whole(void **state)
+{
+	static const struct request_class *const classes[] = {&stalled_order,
+	    &stalled_lookup, &stalled_talk, &stalled_resumable, &stalled_turn};
+	const struct form *form;
+	struct fixture *f = *state;
+	size_t i, n, len, nforms, stalls = 0;
+
+	for (i = 0; i < sizeof(classes) / sizeof(*classes); i++) {
+		form = classes[i]->stream ? stream_forms : plain_forms;
+		nforms = classes[i]->stream
+			     ? sizeof(stream_forms) / sizeof(*stream_forms)
+			     : sizeof(plain_forms) / sizeof(*plain_forms);
+		for (; nforms > 0; nforms--, form++) {
+			/* An open connection never ends the answer. */
+			len = strlen(form->text) + form->ends_with_connection;
+			for (n = 0; n < len; n += STALLS_AT_ONCE)
+				check_stalls(f, classes[i], form, n,
+				    len - n < STALLS_AT_ONCE ? len - n
+							     : STALLS_AT_ONCE);
+			stalls += len;
+		}
+	}
+	print_message("%zu stalls\n", stalls);
+}
+
 /* What a caller gets for a request whose endpoint sends this answer. */
 static void
 ask(struct fixture *f, const char *request, const char *answer, bool close,
@@ -603,6 +693,7 @@
 	    T(test_cut_stream_looks_cut),
 	    T(test_cut_stream_is_resumed_without_a_gap),
 	    T(test_cut_turn_looks_cut),
+	    T(test_stalled_answer_is_not_whole),
 	    T(test_head_has_no_body),
 	    T(test_empty_digest_is_none),
 	    T(test_answer_is_passed_on_unchanged),
