--- a/src/limitmap.c
+++ b/src/limitmap.c
@@ -165,6 +165,13 @@
 	struct mu_peer *home = mu_limit_home(m, customer);
 
 	*decides = home == NULL && own;
+	/* Others have not heard yet that this daemon leaves. */
+	if (m->leaving && home != NULL &&
+	    (at == MU__LIMIT_ASK__HOP__DOMAIN ||
+		(at == MU__LIMIT_ASK__HOP__ROOT && own))) {
+		*next = at;
+		return home;
+	}
 	if (at == MU__LIMIT_ASK__HOP__ROOT_DOMAIN && own && home != NULL) {
 		*next = MU__LIMIT_ASK__HOP__ROOT;
 		return home;
--- a/test/test_limiter.c
+++ b/test/test_limiter.c
@@ -27,6 +27,7 @@
 	char host[16];
 	char addr[MU_ADDR_LEN];
 	bool running;
+	bool leaving;
 };
 
 struct fixture {
@@ -59,8 +60,10 @@
 static void
 fill(void *arg, Mu__Beat *b)
 {
-	(void)arg;
+	const struct daemon *d = arg;
+
 	b->ready = true;
+	b->leaving = d->leaving;
 }
 
 static void
@@ -138,6 +141,15 @@
 	mu_limiter_free(f->d[i].limiter);
 }
 
+/* Starts a planned stop, as mu_serve_drain() does. */
+static void
+leave(struct fixture *f, int i)
+{
+	f->d[i].leaving = true;
+	mu_mesh_send_heartbeat(f->d[i].mesh);
+	mu_limiter_drain(f->d[i].limiter);
+}
+
 #define ROUNDS 8 /* of the loop in a millisecond, for frames on their way */
 
 /* Advances the clock; what is sent meanwhile arrives within a millisecond. */
@@ -400,6 +412,24 @@
 	assert_int_equal(f->admitted, 1);
 }
 
+/* Guards against 503 at other daemons for requests that were on their way to
+ * the root, or to their domain's home, when it began to leave. */
+static void
+test_requests_on_their_way_to_a_leaving_root_are_decided(void **state)
+{
+	struct fixture *f = *state;
+	int root = find_root(f), i, k;
+
+	for (k = 0; k < 4; k++)
+		for (i = 0; i < N; i++)
+			if (i != root)
+				take(f, i);
+	leave(f, root);
+	expect_all_answered(f);
+	assert_int_equal(f->unavailable, 0);
+	assert_int_equal(f->admitted + f->refused, f->asked);
+}
+
 int
 main(void)
 {
@@ -412,6 +442,7 @@
 	    T(test_fleet_is_joined_again),
 	    T(test_refunds_reach_the_count),
 	    T(test_leaving_root_is_passed_over),
+	    T(test_requests_on_their_way_to_a_leaving_root_are_decided),
 #undef T
 	};
 
