--- a/src/account_private.h
+++ b/src/account_private.h
@@ -103,7 +103,8 @@
 /* Rereads the row, as other daemons may have returned tokens.  Must not be
  * called while a write is unresolved. */
 void mu_account_reread(struct program *p, mu_us deadline);
-/* Schedules the return of unused tokens, unless turns are in progress. */
+/* Schedules the return of unused tokens, unless turns are in progress and the
+ * daemon stays. */
 void mu_account_schedule_return(struct program *p);
 /* Callback of return_timer: returns unused tokens. */
 void mu_account_on_return_timer(void *arg);
--- a/src/accountrow.c
+++ b/src/accountrow.c
@@ -231,7 +231,15 @@
 	start_write(p, amount, false, limit < deadline ? limit : deadline);
 }
 
-/* Returns unused tokens when the program pauses. */
+/* Whether unused tokens may be returned: the program pauses, or goes on at
+ * another daemon. */
+static bool
+may_return(struct program *p)
+{
+	return p->accounts->leaving || cds_list_empty(&p->reservations);
+}
+
+/* Returns unused tokens. */
 void
 mu_account_on_return_timer(void *arg)
 {
@@ -239,7 +247,7 @@
 	uint64_t amount =
 	    mu_ledger_returnable(&p->ledger, p->accounts->leaving);
 
-	if (p->request_in_flight || !cds_list_empty(&p->reservations) ||
+	if (p->request_in_flight || !may_return(p) ||
 	    (amount == 0 && p->unresolved.number == 0))
 		return;
 	start_write(p, amount, true,
@@ -251,7 +259,7 @@
 {
 	mu_us now = mu_loop_now(p->accounts->loop);
 
-	if (!cds_list_empty(&p->reservations))
+	if (!may_return(p))
 		mu_timer_clear(p->accounts->loop, &p->return_timer);
 	else
 		mu_timer_set(p->accounts->loop, &p->return_timer,
--- a/test/test_serve.c
+++ b/test/test_serve.c
@@ -297,6 +297,48 @@
 	end_turn(f, a, "t1", 1, NULL);
 }
 
+/* Tokens of the program's budget that are granted to daemons. */
+static uint64_t
+granted_in_row(struct fixture *f)
+{
+	Mu__LedgerRow *row;
+	uint64_t granted = 0;
+	size_t i;
+
+	for (i = 0; i < f->mem->nrows; i++) {
+		if (strcmp(f->mem->row[i].table, "budgets") != 0 ||
+		    strcmp(f->mem->row[i].key, "prog") != 0)
+			continue;
+		row = mu__ledger_row__unpack(
+		    NULL, f->mem->row[i].len, f->mem->row[i].value);
+		assert_non_null(row);
+		granted = row->granted;
+		mu__ledger_row__free_unpacked(row, NULL);
+	}
+	return granted;
+}
+
+/* Guards against turns that wait at other daemons for tokens that a leaving
+ * home keeps until its last turn has ended. */
+static void
+test_leaving_home_returns_what_no_turn_has_reserved(void **state)
+{
+	struct fixture *f = *state;
+	int h = prog_home(f), a = (h + 1) % N;
+
+	assert_int_equal(begin(f, a, "t1", NULL), MU_START_OK);
+	assert_true(f->grant.remote);
+	assert_true(granted_in_row(f) > f->grant.tokens);
+	mu_serve_drain(&f->daemon[h], 1000, 8000);
+	kit_run_ms(f->loop, 200);
+	assert_int_equal(granted_in_row(f), f->grant.tokens);
+	assert_false(mu_home_settled(f->daemon[h].home));
+	end_turn(f, a, "t1", 73, NULL);
+	kit_run_ms(f->loop, 200);
+	assert_int_equal(granted_in_row(f), 73);
+	assert_true(mu_home_settled(f->daemon[h].home));
+}
+
 static void
 test_peers_tell_what_they_have_at_endpoints(void **state)
 {
@@ -460,6 +502,7 @@
 	    T(test_home_dies),
 	    T(test_store_refuses_one_daemon),
 	    T(test_leaving_daemon_is_no_home),
+	    T(test_leaving_home_returns_what_no_turn_has_reserved),
 	    T(test_peers_tell_what_they_have_at_endpoints),
 	    T(test_crashing_request_is_known_to_peers),
 	    T(test_daemon_starts_without_the_store),
