--- a/test/test_call.c
+++ b/test/test_call.c
@@ -1692,6 +1692,246 @@
 	assert_int_equal(e->requests, 3);
 }
 
+/* Changes and stops while requests are in progress: each still ends with its
+ * answer. */
+
+#define CHANGE_REQUESTS 14 /* two more than the endpoint is sent */
+
+/* Version 4 has neither the routes nor the services of version 3. */
+static const char other_config[] =
+    "{\"version\":4,\"routes\":["
+    "{\"name\":\"new\",\"host\":\"h\",\"path_prefix\":\"/new/\","
+    "\"type\":\"safe\",\"timeout_ms\":100,\"service\":\"new\"}],"
+    "\"services\":[{\"name\":\"new\"}],"
+    "\"limits\":{\"idle_timeout_ms\":15000}}";
+
+static bool
+has_answer(const struct kit_caller *c, const char *text)
+{
+	return strstr(kit_caller_received(c), text) != NULL;
+}
+
+/* Fills the endpoint with orders until some are queued. */
+static void
+open_orders(struct fixture *f, struct kit_endpoint *e,
+    struct kit_caller *c[CHANGE_REQUESTS])
+{
+	char text[160];
+	int i;
+
+	for (i = 0; i < CHANGE_REQUESTS; i++) {
+		(void)snprintf(text, sizeof(text),
+		    "POST /order/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: o%d\r\n"
+		    "Content-Length: 0\r\n\r\n",
+		    i);
+		c[i] = kit_caller_open(f->loop, f->addr, text);
+	}
+	assert_true(
+	    kit_until(f->loop, 1000, e->requests == CHANGE_REQUESTS - 2));
+	assert_int_equal(
+	    mu_targets_group(&f->serve.targets, "app")->nwaiting, 2);
+}
+
+/* Answers the orders that the endpoint has, under their own ids. */
+static void
+answer_orders(struct kit_endpoint *e)
+{
+	char id[16];
+	int i;
+
+	for (i = 0; i < KIT_MAX_CONNS; i++) {
+		(void)snprintf(id, sizeof(id), "o%d", i);
+		if (e->conn[i].open)
+			kit_send(e->conn[i].watch.fd, PLAIN, id);
+	}
+}
+
+static unsigned
+count_answers(struct kit_caller *c[CHANGE_REQUESTS], const char *text)
+{
+	unsigned n = 0;
+	int i;
+
+	for (i = 0; i < CHANGE_REQUESTS; i++)
+		n += has_answer(c[i], text);
+	return n;
+}
+
+static void
+free_callers(struct kit_caller *c[CHANGE_REQUESTS])
+{
+	int i;
+
+	for (i = 0; i < CHANGE_REQUESTS; i++)
+		kit_caller_free(c[i]);
+}
+
+static void
+test_removed_route_and_service_end_no_request(void **state)
+{
+	static const struct kit_step s[] = {{NULL, false, false}};
+	static const struct kit_step t[] = {{CHUNKED PIECE("1"), false, false}};
+	struct fixture *f = *state;
+	struct kit_endpoint *e = add_endpoint(f, "app", s, 1);
+	struct kit_endpoint *m = add_endpoint(f, "llm", t, 1);
+	struct kit_caller *c[CHANGE_REQUESTS], *turn;
+
+	wait_until_ready(f);
+	turn = kit_caller_open(f->loop, f->addr, TURN("/check/1", "t1", ""));
+	assert_true(kit_until(f->loop, 1000, has_answer(turn, "piece 1")));
+	open_orders(f, e, c);
+	configure(f, other_config, 4);
+	kit_run_ms(f->loop, 50);
+	answer_orders(e);
+	kit_send(m->conn[0].watch.fd, PIECE("2") LAST_CHUNK, "");
+	assert_true(kit_until(f->loop, 1000, has_answer(turn, LAST_CHUNK)));
+	assert_true(kit_until(
+	    f->loop, 1500, count_answers(c, "HTTP/1.1 ") == CHANGE_REQUESTS));
+	assert_int_equal(count_answers(c, "done"), CHANGE_REQUESTS - 2);
+	free_callers(c);
+	kit_caller_free(turn);
+}
+
+/* The endpoint's entry: draining, then replaced by one that started anew, then
+ * gone. */
+static void
+test_changed_endpoint_ends_no_request(void **state)
+{
+	static const struct kit_step s[] = {{NULL, false, false}};
+	static const char *const entries[] = {
+	    "{\"service\":\"app\",\"address\":\"%s\",\"zone\":\"east\","
+	    "\"slots\":8,\"state\":\"draining\",\"sequence\":2}",
+	    "{\"service\":\"app\",\"address\":\"%s\",\"zone\":\"east\","
+	    "\"slots\":8,\"state\":\"ready\",\"sequence\":3,\"born\":5}",
+	    "{\"service\":\"new\",\"address\":\"%s\",\"zone\":\"east\","
+	    "\"slots\":8,\"state\":\"ready\",\"sequence\":4,\"born\":6}"};
+	struct fixture *f = *state;
+	struct kit_endpoint *e = add_endpoint(f, "app", s, 1);
+	struct kit_caller *c[CHANGE_REQUESTS];
+	char row[512];
+	int i;
+
+	wait_until_ready(f);
+	open_orders(f, e, c);
+	for (i = 0; i < 3; i++) {
+		(void)snprintf(row, sizeof(row), entries[i], e->addr);
+		f->mem->ver++;
+		mem_put(f->mem, "servers", "", "i-0", row, strlen(row));
+		kit_run_ms(f->loop, 60);
+	}
+	answer_orders(e);
+	assert_true(kit_until(
+	    f->loop, 1500, count_answers(c, "HTTP/1.1 ") == CHANGE_REQUESTS));
+	assert_int_equal(count_answers(c, "done"), CHANGE_REQUESTS - 2);
+	free_callers(c);
+}
+
+/* Nothing is sent to the endpoint any more, and what was not sent is promised
+ * not to run. */
+static void
+test_stop_answers_queued_requests(void **state)
+{
+	static const struct kit_step s[] = {{NULL, false, false}};
+	struct fixture *f = *state;
+	struct kit_endpoint *e = add_endpoint(f, "app", s, 1);
+	struct kit_caller *c[CHANGE_REQUESTS];
+
+	wait_until_ready(f);
+	open_orders(f, e, c);
+	mu_in_drain(f->in);
+	mu_call_end_all(&f->serve);
+	assert_true(kit_until(
+	    f->loop, 200, count_answers(c, "HTTP/1.1 ") == CHANGE_REQUESTS));
+	assert_int_equal(count_answers(c, "HTTP/1.1 503 "), 2);
+	assert_int_equal(
+	    count_answers(c, "HTTP/1.1 502 "), CHANGE_REQUESTS - 2);
+	assert_int_equal(e->requests, CHANGE_REQUESTS - 2);
+	assert_true(kit_until(f->loop, 100, mu_in_requests(f->in) == 0));
+	free_callers(c);
+}
+
+/* Of a turn whose budget and history are still being read, and of an order in
+ * the turn of the loop in which it was read. */
+static void
+test_stop_answers_requests_not_sent_yet(void **state)
+{
+	static const struct kit_step s[] = {
+	    {CHUNKED PIECE("1") LAST_CHUNK, false, false}};
+	struct fixture *f = *state;
+	struct kit_endpoint *e = add_endpoint(f, "llm", s, 1);
+	struct kit_endpoint *a = add_endpoint(f, "app", s, 1);
+	struct kit_caller *turn, *order;
+
+	wait_until_lending(f);
+	f->mem->fault = MEM_SILENT;
+	turn = kit_caller_open(
+	    f->loop, f->addr, TURN("/chat/1", "t1", "Previous-Turn: t0\r\n"));
+	order = kit_caller_open(f->loop, f->addr, ORDER("o1"));
+	assert_true(kit_until(f->loop, 200, mu_in_requests(f->in) == 2));
+	mu_in_drain(f->in);
+	mu_call_end_all(&f->serve);
+	assert_true(kit_until(f->loop, 200,
+	    has_answer(turn, "HTTP/1.1 ") && has_answer(order, "HTTP/1.1 ")));
+	assert_true(has_answer(turn, "HTTP/1.1 503 "));
+	assert_true(has_answer(order, "HTTP/1.1 503 ") || a->requests == 1);
+	kit_run_ms(f->loop, 300);
+	assert_int_equal(e->requests, 0);
+	kit_caller_free(turn);
+	kit_caller_free(order);
+}
+
+static void
+test_queued_requests_end_in_time(void **state)
+{
+	static const struct kit_step s[] = {{NULL, false, false}};
+	struct fixture *f = *state;
+	struct kit_endpoint *e = add_endpoint(f, "app", s, 1);
+	struct kit_caller *c[CHANGE_REQUESTS];
+
+	wait_until_ready(f);
+	open_orders(f, e, c);
+	assert_true(kit_until(
+	    f->loop, 1100, count_answers(c, "HTTP/1.1 ") == CHANGE_REQUESTS));
+	assert_int_equal(count_answers(c, "HTTP/1.1 503 "), 2);
+	assert_int_equal(
+	    count_answers(c, "HTTP/1.1 504 "), CHANGE_REQUESTS - 2);
+	free_callers(c);
+}
+
+/* The answer has the most bytes that are buffered, and the daemon is told to
+ * stop while its caller takes them. */
+static void
+test_large_answer_at_a_stop(void **state)
+{
+	static const size_t len = (2 << 20) - 100;
+	static char answer[(2 << 20) + 1000];
+	struct fixture *f = *state;
+	struct kit_step s[] = {{answer, false, false}};
+	struct kit_caller *c;
+	int n = snprintf(answer, sizeof(answer),
+	    HEAD("200 OK") "Content-Length: %zu\r\n\r\n", len);
+	int room = 1 << 22;
+	struct kit_endpoint *e;
+
+	memset(answer + n, 'x', len);
+	e = add_endpoint(f, "app", s, 1);
+	(void)setsockopt(
+	    e->watch.fd, SOL_SOCKET, SO_SNDBUFFORCE, &room, sizeof(room));
+	wait_until_ready(f);
+	c = kit_caller_open(f->loop, f->addr, ORDER("o1"));
+	mu_watch_set(f->loop, &c->watch, 0);
+	assert_true(kit_until(f->loop, 1000, e->requests == 1));
+	kit_run_ms(f->loop, 200);
+	mu_in_drain(f->in);
+	mu_call_end_all(&f->serve);
+	mu_watch_set(f->loop, &c->watch, EPOLLIN);
+	assert_true(
+	    kit_until(f->loop, 2000, mu_buf_len(&c->in) > len || c->closed));
+	assert_true(mu_buf_len(&c->in) > len);
+	assert_true(kit_until(f->loop, 100, mu_in_requests(f->in) == 0));
+	kit_caller_free(c);
+}
+
 int
 main(void)
 {
@@ -1764,6 +2004,12 @@
 	    T(test_turn_of_no_customer_continues),
 	    T(test_rate_limit),
 	    T(test_answer_with_an_impossible_status),
+	    T(test_removed_route_and_service_end_no_request),
+	    T(test_changed_endpoint_ends_no_request),
+	    T(test_stop_answers_queued_requests),
+	    T(test_stop_answers_requests_not_sent_yet),
+	    T(test_queued_requests_end_in_time),
+	    T(test_large_answer_at_a_stop),
 #undef T
 	};
 
