--- a/src/call.c
+++ b/src/call.c
@@ -638,19 +638,27 @@
 	mu_call_unref(c);
 }
 
-void
-mu_call_end_all(struct mu_serve *s)
+static void
+end_calls(struct mu_serve *s, bool sent)
 {
 	struct mu_call *c;
 
 	cds_list_for_each_entry (c, &s->calls, in_progress)
-		if (c->state != ST_ANSWERED) {
+		if (c->state != ST_ANSWERED && (c->exchange != NULL) == sent) {
 			mu_attempt_cancel(c, MU_HEALTH_BUSY);
 			mu_call_fail(
 			    c, RETRY_AFTER_STOPPING_MS, "daemon_stopping");
 		}
 }
 
+void
+mu_call_end_all(struct mu_serve *s)
+{
+	/* In this order: the end of an exchange sends queued requests. */
+	end_calls(s, false);
+	end_calls(s, true);
+}
+
 void
 mu_call_log_unfinished(const struct mu_serve *s)
 {
--- a/test/test_call.c
+++ b/test/test_call.c
@@ -1846,6 +1846,7 @@
 	assert_int_equal(
 	    count_answers(c, "HTTP/1.1 502 "), CHANGE_REQUESTS - 2);
 	assert_int_equal(e->requests, CHANGE_REQUESTS - 2);
+	assert_int_equal(e->accepted, CHANGE_REQUESTS - 2);
 	assert_true(kit_until(f->loop, 100, mu_in_requests(f->in) == 0));
 	free_callers(c);
 }
