Call: no copy from a null pointer for a turn without input or events

Found by the cut answers under the sanitizers (test_answers, asan): the record of a turn whose stream has no event was copied from a null pointer with length 0, which is undefined. test_answers in the asan variant fails on the code of before and passes with this.

--- a/src/call.c
+++ b/src/call.c
@@ -248,9 +248,11 @@
 	if (r->input.data == NULL || r->output.data == NULL)
 		abort();
 	r->input.len = c->req.len;
-	memcpy(r->input.data, c->req.body, c->req.len);
+	if (c->req.len > 0)
+		memcpy(r->input.data, c->req.body, c->req.len);
 	r->output.len = mu_buf_len(&c->output);
-	memcpy(r->output.data, mu_buf_data(&c->output), r->output.len);
+	if (r->output.len > 0)
+		memcpy(r->output.data, mu_buf_data(&c->output), r->output.len);
 	return r;
 }
 
