--- a/src/inbound.c
+++ b/src/inbound.c
@@ -22,8 +22,9 @@
 #include "log.h"
 #include "net.h"
 
-/* A caller that acknowledges no data for this long is disconnected. */
-#define ACK_TIMEOUT_MS 3000
+/* A caller that acknowledges no data, or has no room for more, for this long is
+ * disconnected.  The kernel has one time-out for both. */
+#define ACK_TIMEOUT_MS 10000
 /* A request's head with the library's record of each field, and twice that for
  * a connection, since the head of the answer comes from the same memory. */
 #define MAX_REQUEST_HEAD_BYTES ((size_t)32 * 1024)
