--- a/Makefile
+++ b/Makefile
@@ -70,7 +70,7 @@
 platform:
 	$(MAKE) B=target target/cardamomusher
 
-$(B)/soak: $(B)/test/soak/soak.o $(LIB)
+$(B)/soak: $(call obj,$(wildcard test/soak/*.c)) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 # make soak SEED=7 SECONDS=30; without SEED, the seeds kept in seeds.txt
 soak: $(B)/soak $(B)/cardamomusher
--- a/test/memstore.h
+++ b/test/memstore.h
@@ -12,7 +12,9 @@
 #include "loop.h"
 #include "store.h"
 
+#ifndef MEM_ROWS
 #define MEM_ROWS 4096
+#endif
 
 enum mem_fault {
 	MEM_HEALTHY,
@@ -93,6 +95,8 @@
 	struct mem_row *r = mem_find(m, table, part, key);
 
 	if (r == NULL) {
+		if (m->nrows == MEM_ROWS)
+			abort();
 		r = &m->row[m->nrows++];
 		strncpy(r->table, table, sizeof(r->table) - 1);
 		strncpy(r->part, part, sizeof(r->part) - 1);
--- a/test/tablekit.h
+++ b/test/tablekit.h
@@ -23,9 +23,10 @@
 	bool lost; /* requests are executed but not answered */
 	const char *body; /* replaces the regular body */
 	struct mu_in_req *muted_request;
+	unsigned delay_ms; /* before a request is handled */
 };
 
-/* A request that waits for a change. */
+/* A request that waits for a change, or for the delay (op is NULL). */
 struct feed_wait {
 	struct cds_list_head node;
 	struct tablekit *t;
@@ -148,7 +149,8 @@
 		return;
 	cds_list_del(&w->node);
 	mu_timer_clear(t->loop, &w->timer);
-	mu__store_op__free_unpacked(w->op, NULL);
+	if (w->op != NULL)
+		mu__store_op__free_unpacked(w->op, NULL);
 	free(w);
 }
 
@@ -161,6 +163,8 @@
 	bool changed;
 
 	cds_list_for_each_entry_safe (w, next, &t->waits, node) {
+		if (w->op == NULL)
+			continue;
 		res = malloc(sizeof(*res));
 		mu__store_result__init(res);
 		mem_feed(t->mem, w->op, res);
@@ -213,9 +217,8 @@
 }
 
 static inline void
-tablekit_request(void *arg, struct mu_in_req *r)
+table_handle(struct tablekit *t, struct mu_in_req *r)
 {
-	struct tablekit *t = arg;
 	Mu__StoreResult *res;
 	Mu__StoreOp *op;
 	bool waits = false;
@@ -248,6 +251,40 @@
 	mu__store_result__free_unpacked(res, NULL);
 }
 
+static inline void
+table_delay_end(void *arg)
+{
+	struct feed_wait *w = arg;
+	struct tablekit *t = w->t;
+	struct mu_in_req *r = w->r;
+
+	cds_list_del(&w->node);
+	r->user = NULL;
+	free(w);
+	table_handle(t, r);
+}
+
+static inline void
+tablekit_request(void *arg, struct mu_in_req *r)
+{
+	struct tablekit *t = arg;
+	struct feed_wait *w;
+
+	if (t->delay_ms == 0) {
+		table_handle(t, r);
+		return;
+	}
+	w = calloc(1, sizeof(*w));
+	w->t = t;
+	w->r = r;
+	w->timer.fn = table_delay_end;
+	w->timer.arg = w;
+	cds_list_add_tail(&w->node, &t->waits);
+	r->user = w;
+	mu_timer_set(t->loop, &w->timer,
+	    mu_loop_now(t->loop) + t->delay_ms * MU_US_PER_MS);
+}
+
 static inline int
 tablekit_open(struct tablekit *t, struct mu_loop *l, struct memstore *m)
 {
