Soak: an endpoint that ends its work in the last sixth was still at work then

It now compares the moment at which the endpoint sent the end, so one that ended before is judged as ever.

--- a/test/soak/endpoints.c
+++ b/test/soak/endpoints.c
@@ -85,7 +85,7 @@
 	if (body == NULL)
 		fatal("no memory");
 	memcpy(body, w->call->id, n);
-	w->call->served = true;
+	w->call->served_at = mu_loop_now(soak.loop);
 	memset(body + n, '.', w->call->padding);
 	mu_in_answer(w->r, 200, h, 2, body, n + w->call->padding);
 	free(body);
@@ -114,7 +114,7 @@
 		mu_timer_set(soak.loop, &w->timer, random_work(w->call->kind));
 		return;
 	}
-	w->call->served = true;
+	w->call->served_at = mu_loop_now(soak.loop);
 	mu_in_stream_end(w->r, true);
 }
 
--- a/test/soak/judge.c
+++ b/test/soak/judge.c
@@ -39,9 +39,10 @@
 outlasts_stop(const struct call *call, const struct process *p, mu_us now)
 {
 	mu_us stop = STOP_MS * MU_US_PER_MS;
+	mu_us last = p->term_at + stop - stop / LAST_PART;
 
-	return p->term_at != 0 && now >= p->term_at + stop - stop / LAST_PART &&
-	       !call->served &&
+	return p->term_at != 0 && now >= last &&
+	       (call->served_at == 0 || call->served_at >= last) &&
 	       call->sent_at <= p->term_at + LOSS_SLACK_MS * MU_US_PER_MS;
 }
 
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -47,7 +47,7 @@
 	enum kind kind;
 	bool received; /* by an endpoint */
 	bool broken_off; /* by an endpoint */
-	bool served; /* an endpoint has sent a whole answer */
+	mu_us served_at; /* by an endpoint, whole; 0: not yet */
 	bool reported_not_run; /* the answer was 503 or 402 */
 };
 
