Soak: judge a stop by its own SIGTERM, and signal no process before main()

The moment of the last SIGTERM is now kept. - The program loader took longer than 50 ms, and a signal before main() ended the process. The soak now waits until the process blocks SIGTERM.

--- a/test/soak/judge.c
+++ b/test/soak/judge.c
@@ -39,11 +39,11 @@
 outlasts_stop(const struct call *call, const struct process *p, mu_us now)
 {
 	mu_us stop = STOP_MS * MU_US_PER_MS;
-	mu_us last = p->term_at + stop - stop / LAST_PART;
+	mu_us last = p->last_term_at + stop - stop / LAST_PART;
 
-	return p->term_at != 0 && now >= last &&
+	return p->last_term_at != 0 && now >= last &&
 	       (call->served_at == 0 || call->served_at >= last) &&
-	       call->sent_at <= p->term_at + LOSS_SLACK_MS * MU_US_PER_MS;
+	       call->sent_at <= p->last_term_at + LOSS_SLACK_MS * MU_US_PER_MS;
 }
 
 void
@@ -77,5 +77,5 @@
 	    names[call->kind], call->id, (int)c->style, c->daemon,
 	    elapsed_s(call->sent_at),
 	    call->received ? "passed on" : "not passed on", mu_buf_len(&c->in),
-	    p->term_at != 0 ? elapsed_s(p->term_at) : -1.0);
+	    p->last_term_at != 0 ? elapsed_s(p->last_term_at) : -1.0);
 }
--- a/test/soak/processes.c
+++ b/test/soak/processes.c
@@ -13,8 +13,7 @@
 #define LOG_DIR "build/soak-logs"
 #define DAEMON "build/cardamomusher"
 #define KILL_SLACK_MS 50 /* the exit may be noticed this late */
-/* Before main() a signal ends the process; fault_stop tests its beginning. */
-#define LOADED_MS 50
+
 /* Below the ports that the system gives to outgoing connections, so that none
  * is taken while its daemon is down. */
 #define FIRST_PORT 10000
@@ -92,7 +91,7 @@
 	posix_spawn_file_actions_destroy(&a);
 	p->started_at = mu_now(&soak.clock);
 	p->restart_at = p->term_at = 0;
-	p->was_paused = p->killed = false;
+	p->loaded = p->was_paused = p->killed = false;
 }
 
 void
@@ -116,14 +115,36 @@
 }
 
 static bool
-is_loaded(const struct process *p)
+blocks_sigterm(pid_t pid)
+{
+	unsigned long long blocked = 0;
+	char path[32], line[128];
+	FILE *f;
+
+	(void)snprintf(path, sizeof(path), "/proc/%d/status", (int)pid);
+	f = fopen(path, "re");
+	if (f == NULL)
+		return false;
+	while (fgets(line, sizeof(line), f) != NULL)
+		if (strncmp(line, "SigBlk:", 7) == 0)
+			blocked = strtoull(line + 7, NULL, 16);
+	(void)fclose(f);
+	return (blocked >> (SIGTERM - 1) & 1) != 0;
+}
+
+/* Before main() a signal ends the process; fault_stop tests its beginning. */
+static bool
+is_loaded(struct process *p)
 {
-	return p->restart_at == 0 && mu_loop_now(soak.loop) - p->started_at >
-					 LOADED_MS * MU_US_PER_MS;
+	if (p->restart_at != 0)
+		return false;
+	if (!p->loaded)
+		p->loaded = blocks_sigterm(p->pid);
+	return p->loaded;
 }
 
 bool
-is_serving(const struct process *p)
+is_serving(struct process *p)
 {
 	return is_loaded(p) && p->term_at == 0;
 }
@@ -146,7 +167,7 @@
 	(void)kill(p->pid, SIGTERM);
 	if (p->term_at != 0)
 		return;
-	p->term_at = mu_loop_now(soak.loop);
+	p->term_at = p->last_term_at = mu_loop_now(soak.loop);
 	p->was_paused = p->resume_at != 0;
 	soak.stops++;
 }
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -89,10 +89,12 @@
 	char addr[MU_ADDR_LEN], ready[MU_ADDR_LEN], directory[MU_ADDR_LEN];
 	char mesh[MU_ADDR_LEN], metrics[MU_ADDR_LEN];
 	bool old_release;
+	bool loaded; /* main() has begun */
 	bool was_paused; /* since SIGTERM */
 	bool killed; /* it outlasted its stop */
 	mu_us started_at;
 	mu_us term_at; /* 0: not stopped */
+	mu_us last_term_at; /* of this process or one before; 0: none */
 	mu_us restart_at; /* 0: running */
 	mu_us resume_at; /* 0: not paused */
 };
@@ -153,7 +155,7 @@
 void reload_daemon(struct process *p);
 void fault_daemon(void);
 /* Runs and is not stopping. */
-bool is_serving(const struct process *p);
+bool is_serving(struct process *p);
 unsigned count_serving(void);
 
 /* operator.c */
