--- a/test/soak/processes.c
+++ b/test/soak/processes.c
@@ -89,7 +89,6 @@
 	if (posix_spawn(&p->pid, program, &a, NULL, argv, environ) != 0)
 		fatal("cannot start the daemon");
 	posix_spawn_file_actions_destroy(&a);
-	p->started_at = mu_now(&soak.clock);
 	p->restart_at = p->term_at = 0;
 	p->loaded = p->was_paused = p->killed = false;
 }
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -92,7 +92,6 @@
 	bool loaded; /* main() has begun */
 	bool was_paused; /* since SIGTERM */
 	bool killed; /* it outlasted its stop */
-	mu_us started_at;
 	mu_us term_at; /* 0: not stopped */
 	mu_us last_term_at; /* of this process or one before; 0: none */
 	mu_us restart_at; /* 0: running */
