--- a/test/fault/fault_drain.c
+++ b/test/fault/fault_drain.c
@@ -21,11 +21,14 @@
 
 #include "proc.h"
 #include "proc_call.h"
+#include "proc_stream.h"
 
 #define CALLERS 6
 #define ANSWER_MAX 16384
 #define ANSWER_MS 30000 /* for one answer */
 #define LOSS_SLACK_MS 200 /* a request may cross the end of its connection */
+#define STREAM_TOKENS 60
+#define STREAM_TOKEN_MS 50 /* the stream outlasts the hand-over of slots */
 #define STOP_MAX_MS 20000 /* several times what the hand-over takes */
 
 struct keeper {
@@ -235,6 +238,66 @@
 	check_stop(k, c);
 }
 
+/* Guards against a stream that is cut at the exit, or before its last event is
+ * sent. */
+static void
+test_no_stream_is_cut(void **state)
+{
+	struct cluster *c = call_cluster(3, 1, 1);
+	struct stream s[2];
+	char id[CALL_ID_LEN], error[64];
+	json_t *last;
+	int i;
+
+	(void)state;
+	engines_set(c, "token_ms", STREAM_TOKEN_MS);
+	for (i = 0; i < 2; i++) {
+		call_program(c, id);
+		stream_open(
+		    &s[i], c->daemon[0].addr, id, 1, "go on", STREAM_TOKENS);
+		stream_until(&s[i], 3);
+	}
+	proc_term(c->daemon[0].proc);
+	for (i = 0; i < 2; i++) {
+		stream_drain(&s[i]);
+		last = stream_last(&s[i]);
+		if (*stream_error(&s[i], error) != '\0')
+			fail_msg("%s", s[i].buf);
+		assert_string_equal(
+		    json_string_value(json_object_get(last, "outcome")),
+		    "done");
+		json_decref(last);
+		stream_close(&s[i]);
+	}
+	assert_int_equal(proc_wait(c->daemon[0].proc), 0);
+}
+
+static bool
+has_logged(void *arg)
+{
+	return proc_logged(arg, "\"event\":");
+}
+
+/* Guards against a signal before the daemon is ready, or a second one, that
+ * ends it in any way but the graceful one. */
+static void
+test_signals_before_ready_and_twice(void **state)
+{
+	struct cluster *c = call_cluster(3, 1, 1);
+	struct proc *p = c->daemon[0].proc;
+
+	(void)state;
+	proc_term(p);
+	proc_sleep_ms(100);
+	proc_term(p);
+	assert_int_equal(proc_wait(p), 0);
+	proc_restart(p);
+	proc_until("the first line of its log", has_logged, p);
+	proc_term(p);
+	proc_term(p);
+	assert_int_equal(proc_wait(p), 0);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -243,6 +306,8 @@
 	    T(test_busy_connections_do_not_hold_a_stop),
 	    T(test_no_order_is_cut_on_a_connection_that_rests),
 	    T(test_no_slow_order_is_cut),
+	    T(test_no_stream_is_cut),
+	    T(test_signals_before_ready_and_twice),
 	};
 
 	if (argc > 1)
