--- a/src/stop.c
+++ b/src/stop.c
@@ -12,6 +12,8 @@
 #define KILL_MARGIN_US (300 * MU_US_PER_MS)
 #define SEND_TIME_US (400 * MU_US_PER_MS)
 #define MARGIN_DIVISOR 14
+/* After a late poll, until the loop has sent the last answers. */
+#define MIN_SEND_TIME_US (1 * MU_US_PER_MS)
 
 static mu_us
 earlier(mu_us a, mu_us b)
@@ -27,6 +29,7 @@
 
 	s->began = s->idle_since = now;
 	s->closed_at = 0;
+	s->ended = false;
 	s->moved_by = now + ADDRESS_TTL_FACTOR * address_ttl_ms * MU_US_PER_MS;
 	s->exit_by = now + stop - earlier(KILL_MARGIN_US, most);
 	s->answer_by = s->exit_by - earlier(SEND_TIME_US, most);
@@ -51,6 +54,10 @@
 		s->closed_at = now;
 		return MU_STOP_CLOSE;
 	}
+	if (now >= s->answer_by && !s->ended) {
+		s->ended = true;
+		return MU_STOP_END_REQUESTS;
+	}
 	if (now >= s->exit_by ||
 	    (s->closed_at != 0 && requests == 0 && settled &&
 		now - s->closed_at >= MU_STOP_IDLE_US))
@@ -63,5 +70,9 @@
 {
 	mu_us at = earlier(now + MU_STOP_IDLE_US, s->exit_by);
 
+	if (s->closed_at != 0 && now >= s->answer_by && !s->ended)
+		return now;
+	if (at < now + MIN_SEND_TIME_US)
+		at = now + MIN_SEND_TIME_US;
 	return now < s->answer_by ? earlier(at, s->answer_by) : at;
 }
--- a/src/stop.h
+++ b/src/stop.h
@@ -28,6 +28,7 @@
 	mu_us idle_since; /* no request, and all settled, since then */
 	mu_us moved_by; /* callers may still arrive until then */
 	mu_us closed_at; /* told to stop listening; 0: not yet */
+	bool ended; /* told to give requests their final answer */
 	mu_us answer_by; /* every request has its final answer by then */
 	mu_us exit_by; /* exit even if answers have not been sent */
 };
--- a/test/test_stop.c
+++ b/test/test_stop.c
@@ -89,6 +89,37 @@
 	assert_true(now < end);
 }
 
+/* Guards against requests that are cut without an answer: those left are ended
+ * before the exit, also if the time is short or a poll is late. */
+static void
+test_ends_requests_before_the_exit(void **state)
+{
+	enum mu_stop_step step;
+	struct mu_stop s;
+	uint32_t stop_ms;
+	bool ended, late;
+	mu_us now;
+
+	(void)state;
+	for (stop_ms = 100; stop_ms < 10000; stop_ms += 50)
+		for (late = false;; late = true) {
+			ended = false;
+			mu_stop_begin(&s, START, TTL_MS, stop_ms);
+			now = late ? s.exit_by : START;
+			while ((step = mu_stop_poll(&s, now, 1, true)) !=
+			       MU_STOP_EXIT) {
+				ended |= step == MU_STOP_END_REQUESTS;
+				now = mu_stop_next_poll(&s, now);
+			}
+			if (!ended)
+				print_message(
+				    "%u ms, late: %d\n", stop_ms, (int)late);
+			assert_true(ended);
+			if (late)
+				break;
+		}
+}
+
 /* What endpoints answer before the last part of the time still arrives, also if
  * the time is short. */
 static void
@@ -143,6 +174,7 @@
 	    cmocka_unit_test(test_waits_for_calls_in_progress),
 	    cmocka_unit_test(test_ends_before_it_is_killed),
 	    cmocka_unit_test(test_waits_for_settlements),
+	    cmocka_unit_test(test_ends_requests_before_the_exit),
 	    cmocka_unit_test(test_ends_no_request_early),
 	    cmocka_unit_test(test_accepts_only_what_ends_before_the_exit),
 	};
