--- a/src/call.c
+++ b/src/call.c
@@ -34,7 +34,10 @@
 #define TURN_START_TIMEOUT_US (1 * MU_US_PER_S)
 #define RETRY_AFTER_OUTAGE_MS 400
 #define RETRY_AFTER_OVERLOAD_MS 250
-#define RETRY_AFTER_STOPPING_MS 1 /* at once: other daemons serve */
+/* From a daemon that stops: at once if another one serves; else by then this
+ * one has started again, or others are ready. */
+#define RETRY_AFTER_ELSEWHERE_MS 1
+#define RETRY_AFTER_RESTART_MS 1000
 /* Some turns end within this time, and a caller can retry several times. */
 #define RETRY_AFTER_NEW_PROGRAM_MS 350
 
@@ -501,6 +504,17 @@
 	mu_home_start_turn(c->s->home, &b, &c->grant, on_turn_begun, c);
 }
 
+static uint32_t
+retry_after_stopping(const struct mu_serve *s)
+{
+	struct mu_peer *p;
+
+	cds_list_for_each_entry (p, mu_mesh_peers(s->mesh), node)
+		if (mu_peer_accepts_callers(p))
+			return RETRY_AFTER_ELSEWHERE_MS;
+	return RETRY_AFTER_RESTART_MS;
+}
+
 /* Selects route and service; false if there is none and the request has been
  * answered. */
 static bool
@@ -601,7 +615,7 @@
 	set_deadline(c);
 	if (!mu_stop_accepts(&s->stop, c->deadline)) {
 		mu_call_end_with_error(
-		    c, 503, RETRY_AFTER_STOPPING_MS, "daemon_stopping");
+		    c, 503, retry_after_stopping(s), "daemon_stopping");
 		return;
 	}
 	/* That of a turn that continues needs its history first. */
@@ -649,7 +663,7 @@
 		if (c->state != ST_ANSWERED && (c->exchange != NULL) == sent) {
 			mu_attempt_cancel(c, MU_HEALTH_BUSY);
 			mu_call_fail(
-			    c, RETRY_AFTER_STOPPING_MS, "daemon_stopping");
+			    c, retry_after_stopping(s), "daemon_stopping");
 		}
 }
 
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -41,6 +41,13 @@
 	mu_us dial_at; /* earliest time of the next attempt */
 };
 
+/* Whether callers may be sent to it. */
+static inline bool
+mu_peer_accepts_callers(const struct mu_peer *p)
+{
+	return p->up && p->ready && !p->leaving;
+}
+
 struct mu_mesh_conf {
 	const char *host;
 	const char *domain;
--- a/test/fault/fault_stop.c
+++ b/test/fault/fault_stop.c
@@ -81,6 +81,7 @@
 	mu_us exit_at; /* the process was gone */
 	unsigned answered, refused, failed, unread, cut, not_connected;
 	unsigned answered_late, refused_late, slow_refusals;
+	unsigned hasty_refusals; /* the caller isn't told to wait */
 } t;
 
 static const char config[] =
@@ -343,8 +344,9 @@
 }
 
 static void
-count_answer(struct caller *c, int status)
+count_answer(struct caller *c, const char *answer, int status)
 {
+	const char *after = strstr(answer, "Retry-After: ");
 	mu_us now = mu_loop_now(t.loop);
 	bool late = t.term_at != 0 && c->call->sent_at > t.term_at;
 
@@ -357,6 +359,8 @@
 		c->call->refused = true;
 		if (now - c->call->sent_at > REFUSED_MS * MU_US_PER_MS)
 			t.slow_refusals++;
+		if (after == NULL || strtod(after + 13, NULL) < 0.5)
+			t.hasty_refusals++;
 		assert_int_equal(c->call->runs, 0);
 	} else {
 		t.failed++;
@@ -402,7 +406,7 @@
 	(void)sscanf(a, "HTTP/1.1 %d", &status);
 	closes = c->conn->closed || strstr(a, "Connection: close") != NULL;
 	if (complete)
-		count_answer(c, status);
+		count_answer(c, a, status);
 	else
 		count_closed(c);
 	end_call(c, closes);
@@ -504,6 +508,8 @@
 	stop_daemon();
 	expect_answers_or_refusals();
 	assert_int_equal(t.slow_refusals, 0);
+	assert_int_equal(t.hasty_refusals, 0);
+	assert_true(t.refused_late > 0);
 	assert_true(t.answered_late > 0);
 	/* New connections were refused before the process exited. */
 	assert_true(t.not_connected > CALLERS);
--- a/test/test_call.c
+++ b/test/test_call.c
@@ -201,6 +201,17 @@
 	return n;
 }
 
+static unsigned
+peers_that_serve(struct mu_serve *s)
+{
+	struct mu_peer *p;
+	unsigned n = 0;
+
+	cds_list_for_each_entry (p, mu_mesh_peers(s->mesh), node)
+		n += mu_peer_accepts_callers(p);
+	return n;
+}
+
 /* Starts a second daemon; both know the endpoints and each other. */
 static void
 start_second(struct fixture *f)
@@ -1858,6 +1869,34 @@
 	free_callers(c);
 }
 
+/* A request that a stopping daemon refuses is served at once by another one, if
+ * there is one that serves. */
+static void
+test_stopping_daemon_sends_callers_elsewhere(void **state)
+{
+	static const struct kit_step s[] = {{PLAIN, false, false}};
+	struct fixture *f = *state;
+	struct kit_caller *c;
+
+	(void)add_endpoint(f, "app", s, 1);
+	wait_until_ready(f);
+	start_second(f);
+	assert_true(kit_until(f->loop, 1000, peers_that_serve(&f->serve) == 1));
+	mu_serve_drain(&f->serve, 100, 500); /* less than the route's limit */
+	c = call_at(f, f->addr, ORDER("o1"), 300);
+	assert_true(has_answer(c, "HTTP/1.1 503 "));
+	assert_true(has_answer(c, "Retry-After: 0.001\r\n"));
+	kit_caller_free(c);
+	c = call_at(f, f->addr2, ORDER("o2"), 1000);
+	assert_true(has_answer(c, "HTTP/1.1 200 "));
+	kit_caller_free(c);
+	mu_serve_drain(&f->serve2, 100, 500);
+	assert_true(kit_until(f->loop, 500, peers_that_serve(&f->serve) == 0));
+	c = call_at(f, f->addr, ORDER("o3"), 300);
+	assert_true(has_answer(c, "Retry-After: 1.000\r\n"));
+	kit_caller_free(c);
+}
+
 /* Of a turn whose budget and history are still being read, and of an order in
  * the turn of the loop in which it was read. */
 static void
@@ -2017,6 +2056,7 @@
 	    T(test_changed_endpoint_ends_no_request),
 	    T(test_stop_answers_queued_requests),
 	    T(test_stop_answers_requests_not_sent_yet),
+	    T(test_stopping_daemon_sends_callers_elsewhere),
 	    T(test_queued_requests_end_in_time),
 	    T(test_large_answer_at_a_stop),
 #undef T
