--- a/test/fault/fault_stop.c
+++ b/test/fault/fault_stop.c
@@ -638,6 +638,32 @@
 	assert_true(proc_logged(p, "\"event\":\"stopped\""));
 }
 
+/* The process is paused until after the end of its grace, as far as it knows:
+ * the requests left still get their answer before it exits. */
+static void
+test_order_is_answered_after_a_pause_of_the_daemon(void **state)
+{
+	unsigned i;
+
+	(void)state;
+	add_callers(0, 2, KIND_ENDLESS, 1);
+	run_callers(500);
+	t.term_at = mu_loop_now(t.loop);
+	proc_term(t.daemon);
+	run_callers(200);
+	proc_pause(t.daemon);
+	run_callers(STOP_MS);
+	proc_resume(t.daemon);
+	run_callers(1000);
+	assert_int_not_equal(t.exit_at, 0);
+	kit_run_ms(t.loop, 50);
+	for (i = 0; i < 2; i++)
+		if (t.caller[i].call != NULL)
+			poll_caller(&t.caller[i]);
+	assert_int_equal(t.cut, 0);
+	assert_int_equal(t.failed, 2);
+}
+
 int
 main(void)
 {
@@ -652,6 +678,7 @@
 	    T(test_no_order_is_cut_when_the_daemon_is_nearly_idle),
 	    T(test_order_in_progress_at_the_exit_is_answered),
 	    T(test_signal_during_the_start_is_not_lost),
+	    T(test_order_is_answered_after_a_pause_of_the_daemon),
 #undef T
 	};
 
