--- a/src/stop.h
+++ b/src/stop.h
@@ -20,7 +20,8 @@
 
 #include "musher.h"
 
-/* Time without requests that is required to exit, and the poll interval. */
+/* The poll interval, and how long before a poll the last request must have been
+ * seen in progress for the daemon to exit. */
 #define MU_STOP_IDLE_US (100 * MU_US_PER_MS)
 
 struct mu_stop {
