--- a/test/fault/fault_stop.c
+++ b/test/fault/fault_stop.c
@@ -79,6 +79,7 @@
 	unsigned next_id;
 	mu_us term_at; /* SIGTERM was sent; 0: not yet */
 	mu_us exit_at; /* the process was gone */
+	mu_us longest_turn; /* of this program's loop */
 	unsigned answered, refused, failed, unread, cut, not_connected;
 	unsigned answered_late, refused_late, slow_refusals;
 	unsigned hasty_refusals; /* the caller isn't told to wait */
@@ -415,11 +416,14 @@
 static void
 run_callers(unsigned ms)
 {
-	mu_us end = mu_loop_now(t.loop) + ms * MU_US_PER_MS;
+	mu_us end = mu_loop_now(t.loop) + ms * MU_US_PER_MS, before;
 	unsigned i;
 
 	while (mu_loop_now(t.loop) < end && t.exit_at == 0) {
+		before = mu_loop_now(t.loop);
 		mu_loop_once(t.loop, 2);
+		if (mu_loop_now(t.loop) - before > t.longest_turn)
+			t.longest_turn = mu_loop_now(t.loop) - before;
 		for (i = 0; i < CALLERS; i++)
 			if (t.caller[i].gap_ms > 0)
 				poll_caller(&t.caller[i]);
@@ -456,12 +460,14 @@
 	for (i = 0; i < CALLERS; i++)
 		if (t.caller[i].call != NULL)
 			poll_caller(&t.caller[i]);
-	print_message(
-	    "%u answered (%u sent in the grace), %u refused (%u), %u "
-	    "failed, %u unread, %u not connected, %u cut; exit after %d ms\n",
+	print_message("%u answered (%u sent in the grace), %u refused (%u), %u "
+		      "failed, %u unread, %u not connected, %u cut; exit after "
+		      "%d ms; this "
+		      "test's longest turn %d ms\n",
 	    t.answered, t.answered_late, t.refused, t.refused_late, t.failed,
 	    t.unread, t.not_connected, t.cut,
-	    (int)((t.exit_at - t.term_at) / MU_US_PER_MS));
+	    (int)((t.exit_at - t.term_at) / MU_US_PER_MS),
+	    (int)(t.longest_turn / MU_US_PER_MS));
 	assert_in_range((t.exit_at - t.term_at) / MU_US_PER_MS, 0, STOP_MS - 1);
 }
 
