--- a/src/call.c
+++ b/src/call.c
@@ -445,6 +445,14 @@
 	mu_call_dispatch(c);
 }
 
+/* Whether the turn is cut off if it uses all that it may (account.c). */
+static bool
+may_be_cut_off(const struct mu_call *c)
+{
+	return c->grant.held && c->grant.tokens > 0 &&
+	       c->grant.tokens < c->req.max_turn_tokens;
+}
+
 static void
 on_turn_begun(void *arg, enum mu_turn_start_status st)
 {
@@ -455,6 +463,9 @@
 		mu_call_unref(c);
 		return;
 	}
+	/* A daemon that stops accepts only what it can answer whole. */
+	if (st == MU_START_OK && mu_serve_leaving(c->s) && may_be_cut_off(c))
+		st = MU_START_UNAVAILABLE;
 	switch (st) {
 	case MU_START_OK:
 		mu_call_turn_reserved(c);
--- a/test/test_call.c
+++ b/test/test_call.c
@@ -903,6 +903,31 @@
 	expect(f, TURN("/check/1", "c2", ""), 100, "\r\n0\r\n\r\n");
 }
 
+/* A turn of a program whose guarantor lends it 289 tokens, the most of one. */
+#define LOANED_TURN(id) \
+	"POST /check/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: " id \
+	"\r\nProgram-Id: p3\r\nToken-Budget: 1156\r\nToken-Usage: 10,289\r\n" \
+	"Content-Length: 2\r\n\r\n" id
+
+/* Guards against turns that a stopping daemon cuts because they use up a
+ * reservation that is less than they may need. */
+static void
+test_stopping_daemon_begins_no_turn_on_a_remainder(void **state)
+{
+	static const struct kit_step s[] = {
+	    {CHUNKED PIECE("1") LAST_CHUNK, false, false}};
+	struct fixture *f = *state;
+	struct kit_endpoint *e = add_endpoint(f, "llm", s, 1);
+
+	wait_until_lending(f);
+	f->mem->fault = MEM_SILENT;
+	expect(f, LOANED_TURN("l1"), 900, LAST_CHUNK);
+	expect(f, LOANED_TURN("l2"), 900, LAST_CHUNK);
+	mu_serve_drain(&f->serve, 1000, 8000);
+	expect(f, LOANED_TURN("l3"), 900, "state_unavailable");
+	assert_int_equal(e->requests, 2);
+}
+
 /* Guards against two daemons that both lent to a program: one that has just
  * started with its fleet doesn't know who else did, so it lends nothing yet. */
 static void
@@ -2018,6 +2043,7 @@
 	    T(test_stream_that_runs_once_is_cut),
 	    T(test_caller_that_leaves_stops_the_endpoint),
 	    T(test_program_begins_while_the_store_is_out),
+	    T(test_stopping_daemon_begins_no_turn_on_a_remainder),
 	    T(test_no_loan_before_all_daemons_are_known),
 	    T(test_refused_in_time_when_the_store_is_out),
 	    T(test_dead_endpoint_is_left_alone),
