--- a/test/test_call.c
+++ b/test/test_call.c
@@ -1836,7 +1836,7 @@
 	kit_caller_free(turn);
 }
 
-/* The endpoint's entry: draining, then replaced by one that started anew, then
+/* The endpoint's entry: draining, then replaced by one that has restarted, then
  * gone. */
 static void
 test_changed_endpoint_ends_no_request(void **state)
