Serving path: estimate load by the mean, shed the least urgent programs first

Besides, all programs were refused alike, though one of the least urgent route brings six times the turns of one of the most urgent.

--- a/src/call.c
+++ b/src/call.c
@@ -419,6 +419,12 @@
 refuse_new_program(struct mu_call *c)
 {
 	if (!c->only_started) {
+		mu_count(MU_M_PROGRAMS_SHED, 1);
+		mu_log(MU_LOG_INFO, "call", "program_shed",
+		    "{s:s,s:s?,s:s,s:s,s:f}", "request", c->req.id, "program",
+		    c->req.program, "service", c->group->name, "class",
+		    mu_shed_class_name(c->shed_class), "utilization",
+		    c->utilization);
 		mu_call_end_with_error(c, 503, RETRY_AFTER_NEW_PROGRAM_MS,
 		    "no_place_for_new_programs");
 		return;
@@ -489,6 +495,13 @@
 	mu_call_unref(c);
 }
 
+static bool
+admits_new_program(struct mu_call *c)
+{
+	c->utilization = mu_group_utilization(&c->s->targets, c->group);
+	return mu_shed_admits(&c->s->conf.shed, c->shed_class, c->utilization);
+}
+
 static void
 begin_turn(struct mu_call *c)
 {
@@ -504,9 +517,7 @@
 	b.parts = c->req.parts;
 	b.nparts = c->req.nparts;
 	b.only_begun = c->only_started ||
-		       (c->req.previous == NULL &&
-			   !mu_choose_admit_program(
-			       mu_group_utilization(&c->s->targets, c->group)));
+		       (c->req.previous == NULL && !admits_new_program(c));
 	b.deadline = c->arrived + TURN_START_TIMEOUT_US < c->deadline
 			 ? c->arrived + TURN_START_TIMEOUT_US
 			 : c->deadline;
@@ -554,6 +565,8 @@
 	}
 	c->service = mu_routes_service(c->routes, service);
 	c->group = mu_targets_group(&s->targets, service);
+	c->shed_class = mu_shed_class(&s->conf.shed, c->route->priority,
+	    c->service != NULL ? c->service->least_urgent : 0);
 	return true;
 }
 
--- a/src/choose.c
+++ b/src/choose.c
@@ -30,21 +30,11 @@
 #define REMOTE_COST_RATIO 0.10
 #define BATCH_SLOWDOWN 0.02 /* relative slowdown per concurrent request */
 #define TIE_RATIO 0.03 /* costs that differ by less are equal */
-/* Utilization from which no new program starts.  The remaining slots serve
- * concurrent calls of started programs, and endpoints slow down as they fill:
- * above this, each new program makes others miss their deadlines. */
-#define NEW_PROGRAM_UTILIZATION_MAX 0.75
 #define RETRY_MIN_MS 100
 /* Callers honor a retry time of at most a third of their time. */
 #define RETRY_MAX_MS 900
 #define NO_ENDPOINT_RETRY_MS 300 /* about until the endpoint list is reread */
 
-bool
-mu_choose_admit_program(double utilization)
-{
-	return utilization < NEW_PROGRAM_UTILIZATION_MAX;
-}
-
 static double
 load(const struct mu_candidate *c)
 {
--- a/src/choose.h
+++ b/src/choose.h
@@ -58,13 +58,6 @@
 struct mu_choice mu_choose_queue(const struct mu_candidate *c, uint32_t n,
     const struct mu_demand *d, uint32_t ahead);
 
-/*
- * Whether a new program (no turn answered yet) may start at this utilization
- * of the service's concurrency slots.  Limits the programs in progress to what
- * the endpoints can complete in time.
- */
-bool mu_choose_admit_program(double utilization);
-
 /* Sort key of a request that is queued for capacity. */
 struct mu_queue_rank {
 	uint32_t priority; /* of its route; 0 is the most urgent */
--- a/src/metric.h
+++ b/src/metric.h
@@ -48,6 +48,8 @@
 	    "connections opened to endpoints") \
 	X(OVERDUE, "answers_overdue_total", "answers overdue by far") \
 	X(KEYS_REFUSED, "keys_refused_total", "requests without a valid key") \
+	X(PROGRAMS_SHED, "programs_shed_total", \
+	    "new programs refused because their service is full") \
 	X(LIMITED, "limited_total", "requests over their customer's limit") \
 	X(LIMIT_ASKS, "limit_asks_total", "rate limit requests to daemons") \
 	X(LIMIT_UNANSWERED, "limit_unanswered_total", \
--- a/src/routes.c
+++ b/src/routes.c
@@ -73,6 +73,29 @@
 	return NULL;
 }
 
+static void
+index_route(struct mu_routes *r, const struct mu_route *t)
+{
+	size_t i, k;
+
+	for (i = 0; i < t->nshares; i++)
+		for (k = 0; k < r->nservices; k++)
+			if (strcmp(r->service[k].name, t->shares[i].service) ==
+				0 &&
+			    t->priority > r->service[k].least_urgent)
+				r->service[k].least_urgent = t->priority;
+}
+
+void
+mu_routes_index(struct mu_routes *r)
+{
+	size_t i;
+
+	for (i = 0; i < r->nroutes; i++)
+		if (r->route[i].kind == MU_ROUTE_STREAM)
+			index_route(r, &r->route[i]);
+}
+
 const char *
 mu_route_pick_service(const struct mu_route *r, uint64_t key)
 {
--- a/src/routes.h
+++ b/src/routes.h
@@ -42,6 +42,9 @@
 	char *name;
 	uint32_t tokens_per_event; /* model services; 0: a plain service */
 	uint32_t slots; /* concurrent requests; 0: unknown */
+	/* Highest priority number of its streaming routes, whose requests may
+	 * start programs; set by mu_routes_index(). */
+	uint32_t least_urgent;
 };
 
 struct mu_routes {
@@ -54,6 +57,8 @@
 	struct mu_customers *customers; /* NULL: callers need no key */
 };
 
+/* Sets what services have from their routes; to be called once. */
+void mu_routes_index(struct mu_routes *r);
 struct mu_routes *mu_routes_ref(struct mu_routes *r);
 void mu_routes_unref(struct mu_routes *r); /* NULL is allowed */
 /* Finds the route of host with the longest prefix of path; NULL if none. */
--- a/src/serve.c
+++ b/src/serve.c
@@ -76,6 +76,7 @@
 		mu_routes_unref(r);
 		return;
 	}
+	mu_routes_index(r);
 	mu_log(MU_LOG_INFO, "serve", "config_in_force", "{s:I,s:I,s:i,s:i,s:i}",
 	    "version", (json_int_t)r->version, "before",
 	    s->routes != NULL ? (json_int_t)s->routes->version : 0, "routes",
@@ -590,6 +591,8 @@
 		&s->targets, l, s->conf.domain, s->conf.incarnation) != 0)
 		goto nomem;
 	s->targets.crashes = &s->crashes;
+	s->targets.load_estimate =
+	    s->conf.shed.exact_load ? MU_LOADEST_MEAN : MU_LOADEST_REPORT;
 	rc = mu_mesh_new(&s->mesh, l, &mc, &hooks, e);
 	if (rc != 0)
 		return rc;
--- a/src/serve.h
+++ b/src/serve.h
@@ -9,6 +9,7 @@
 #include "bootstrap.h"
 #include "inbound.h"
 #include "limiter.h"
+#include "shed.h"
 #include "stop.h"
 #include "targets.h"
 
@@ -66,6 +67,7 @@
 	uint32_t limit_window_ms;
 	double limit_overage;
 	double limit_slack;
+	struct mu_shed_conf shed;
 };
 
 struct mu_serve {
--- a/src/targets.c
+++ b/src/targets.c
@@ -4,8 +4,8 @@
  *
  * An endpoint's load is the number of requests of this daemon there plus those
  * of other daemons.  The latter is the larger of two figures: the sum of the
- * reports of peers in the failure domain, and the endpoint's own last report,
- * which decays with age.  Health is derived from answers only (eject.c),
+ * reports of peers in the failure domain, and the estimate from the endpoint's
+ * own last report (loadest.c).  Health is derived from answers only (eject.c),
  * without separate probes.
  */
 #include <jansson.h>
@@ -28,8 +28,6 @@
 /* Validity of a peer's report that an endpoint is leaving: a few heartbeat
  * intervals. */
 #define PEER_LEAVING_US (2 * MU_US_PER_S)
-/* Decay of an endpoint's load report: duration of a few typical calls. */
-#define LOAD_DECAY_US 1e6
 /* An endpoint that can't be reached within this time of an abort died then. */
 #define CRASH_WINDOW_US (1500 * MU_US_PER_MS)
 #define INITIAL_CALL_US (150 * MU_US_PER_MS) /* start value of averages */
@@ -301,12 +299,9 @@
 static double
 estimate_others(const struct mu_target *x, mu_us now)
 {
-	double reported = 0;
+	double reported = mu_loadest_others(x->owner->load_estimate, &x->load,
+	    &x->group->mean_load, x->info.slots, now);
 
-	if (x->load_reported_at != 0)
-		reported =
-		    x->reported_others *
-		    exp(-(double)(now - x->load_reported_at) / LOAD_DECAY_US);
 	return reported > x->peer_requests ? reported : x->peer_requests;
 }
 
@@ -491,10 +486,12 @@
 {
 	double all = (double)running + waiting;
 
-	x->reported_others = all > x->sent ? all - x->sent : 0;
-	x->load_reported_at = now;
-	if (slots > 0)
-		x->info.slots = slots;
+	x->load.others = all > x->sent ? all - x->sent : 0;
+	x->load.at = now;
+	if (slots == 0)
+		return;
+	x->info.slots = slots;
+	mu_loadest_add(&x->group->mean_load, x->load.others, slots, now);
 }
 
 void
--- a/src/targets.h
+++ b/src/targets.h
@@ -11,6 +11,7 @@
 #include "crashes.h"
 #include "eject.h"
 #include "hmap.h"
+#include "loadest.h"
 #include "pace.h"
 #include "routes.h"
 #include "upstream.h"
@@ -47,8 +48,7 @@
 	struct mu_up_pool *pool;
 	uint32_t sent; /* requests of this daemon in progress there */
 	uint32_t peer_requests; /* of peers, by their heartbeats */
-	double reported_others; /* of other daemons, by its last report */
-	mu_us load_reported_at;
+	struct mu_loadest_report load; /* by its last answer */
 	struct mu_health health;
 	struct mu_pace pace;
 	mu_us full_until; /* backed off after it refused a request */
@@ -69,6 +69,7 @@
 	struct cds_list_head targets;
 	struct cds_list_head waiting; /* struct mu_call, in sending order */
 	uint32_t nwaiting;
+	struct mu_loadest_mean mean_load;
 	mu_us call_time; /* smoothed average duration of a call */
 	struct mu_pace pace;
 	mu_us first_byte_time; /* smoothed average time to first byte */
@@ -90,6 +91,7 @@
 	struct mu_loop *loop;
 	struct mu_crashes *crashes; /* gets the evidence; may be NULL */
 	char domain[MU_NAME_LEN]; /* of this daemon */
+	enum mu_loadest_kind load_estimate;
 	struct mu_hmap by_name;
 	struct mu_hmap groups;
 	uint64_t rng;
--- a/test/test_choose.c
+++ b/test/test_choose.c
@@ -8,6 +8,7 @@
 #include <cmocka.h>
 
 #include "choose.h"
+#include "shed.h"
 #include "view.h"
 
 #define N 9
@@ -212,6 +213,7 @@
 static unsigned
 completed_in_time(bool admit_all)
 {
+	static const struct mu_shed_conf conf = {0};
 	enum {
 		SLOTS_TOTAL = N * SLOTS,
 		TURNS = 4,
@@ -229,7 +231,7 @@
 		if (running[1] < 100000)
 			for (t = 0; t < PER_STEP; t++)
 				if (admit_all ||
-				    mu_choose_admit_program(
+				    mu_shed_admits(&conf, MU_SHED_DEFAULT,
 					(double)(busy + t) / SLOTS_TOTAL))
 					running[0]++;
 		step = busy > SLOTS_TOTAL ? (double)busy / SLOTS_TOTAL : 1;
