Load shedding: only for services with less urgent programs

Change: the setting load_estimate is gone. shed_priority alone switches the estimate and the two limits on, for a service whose configuration has a streaming route of that priority; all other services keep the earlier estimate and limit.

--- a/src/call.c
+++ b/src/call.c
@@ -499,7 +499,7 @@
 admits_new_program(struct mu_call *c)
 {
 	c->utilization = mu_group_utilization(&c->s->targets, c->group);
-	return mu_shed_admits(&c->s->conf.shed, c->shed_class, c->utilization);
+	return mu_shed_admits(c->shed_class, c->utilization);
 }
 
 static void
@@ -565,7 +565,7 @@
 	}
 	c->service = mu_routes_service(c->routes, service);
 	c->group = mu_targets_group(&s->targets, service);
-	c->shed_class = mu_shed_class(&s->conf.shed, c->route->priority,
+	c->shed_class = mu_shed_class(s->conf.shed_priority, c->route->priority,
 	    c->service != NULL ? c->service->least_urgent : 0);
 	return true;
 }
--- a/src/serve.c
+++ b/src/serve.c
@@ -55,6 +55,26 @@
 {
 }
 
+/* The limits of shed.c for services with less urgent programs need an estimate
+ * that is not too low. */
+static void
+choose_load_estimates(struct mu_serve *s)
+{
+	const struct mu_service *v;
+	struct mu_group *g;
+	size_t i;
+
+	for (i = 0; i < s->routes->nservices; i++) {
+		v = &s->routes->service[i];
+		g = mu_targets_group(&s->targets, v->name);
+		g->load_estimate =
+		    mu_shed_class(s->conf.shed_priority, v->least_urgent,
+			v->least_urgent) == MU_SHED_DEFAULT
+			? MU_LOADEST_REPORT
+			: MU_LOADEST_MEAN;
+	}
+}
+
 static void
 on_config_row(void *arg, const Mu__StoreRow *row)
 {
@@ -85,6 +105,7 @@
 	mu_count(MU_M_CONFIGS, 1);
 	mu_routes_unref(s->routes);
 	s->routes = r;
+	choose_load_estimates(s);
 }
 
 /* Endpoints. */
@@ -591,8 +612,6 @@
 		&s->targets, l, s->conf.domain, s->conf.incarnation) != 0)
 		goto nomem;
 	s->targets.crashes = &s->crashes;
-	s->targets.load_estimate =
-	    s->conf.shed.exact_load ? MU_LOADEST_MEAN : MU_LOADEST_REPORT;
 	rc = mu_mesh_new(&s->mesh, l, &mc, &hooks, e);
 	if (rc != 0)
 		return rc;
--- a/src/serve.h
+++ b/src/serve.h
@@ -67,7 +67,8 @@
 	uint32_t limit_window_ms;
 	double limit_overage;
 	double limit_slack;
-	struct mu_shed_conf shed;
+	/* Routes that are shed first (shed.h); 0: none. */
+	uint32_t shed_priority;
 };
 
 struct mu_serve {
--- a/src/serveconf.c
+++ b/src/serveconf.c
@@ -26,7 +26,6 @@
 #define DEFAULT_LIMIT_OVERAGE 0
 #define DEFAULT_LIMIT_SLACK 0
 #define DEFAULT_SHED_PRIORITY 0
-#define DEFAULT_LOAD_ESTIMATE "report"
 #define LIMIT_OVERAGE_MAX 10.0
 #define MS_PER_S 1000
 
@@ -43,8 +42,6 @@
 	X(metrics_addr, 0, "IP:PORT", "required") \
 	X(store_addr, 0, "IP:PORT", "required")
 #define OTHERS(X) \
-	X(load_estimate, CYAML_FLAG_OPTIONAL, "report or mean", \
-	    DEFAULT_LOAD_ESTIMATE) \
 	X(log_level, CYAML_FLAG_OPTIONAL, "debug, info, warn or error", \
 	    DEFAULT_LOG_LEVEL)
 /* X(field, default): 0 to LIMIT_OVERAGE_MAX */
@@ -134,10 +131,6 @@
 		rc = mu_yaml_addr(#f, c->f, e);
 	ADDRS(X)
 #undef X
-	if (rc == 0 && strcmp(c->load_estimate, "report") != 0 &&
-	    strcmp(c->load_estimate, "mean") != 0)
-		rc = mu_yaml_fail(e, "load_estimate",
-		    "\"%s\"; expected report or mean", c->load_estimate);
 	return rc;
 }
 
@@ -207,11 +200,6 @@
 #undef X
 	if (c->log_level == NULL)
 		c->log_level = strdup(DEFAULT_LOG_LEVEL);
-	if (c->load_estimate == NULL)
-		c->load_estimate = strdup(DEFAULT_LOAD_ESTIMATE);
-	if (c->log_level == NULL || c->load_estimate == NULL)
-		return mu_fail(
-		    e, MU_E_NOMEM, MU_OUTCOME_NOT_RUN, 0, "out of memory");
 #define X(f, def, lo, hi) \
 	if (rc == 0) \
 		rc = read_number(#f, r->f, def, lo, hi, &c->f, e);
--- a/src/serveconf.h
+++ b/src/serveconf.h
@@ -27,9 +27,6 @@
 	uint32_t limit_window_ms;
 	uint32_t limit_slack;
 	double limit_overage;
-	/* How the load of endpoints is estimated: report or mean (loadest.h).
-	 */
-	char *load_estimate;
 	uint32_t shed_priority; /* shed first from here on; 0: none (shed.h) */
 	char *log_level; /* debug, info, warn or error */
 };
--- a/src/shed.c
+++ b/src/shed.c
@@ -19,37 +19,36 @@
 /* The queue is then about as long as a program's time limit bears: programs
  * are given 1.3 to 1.5 times their time on idle endpoints. */
 #define LAST_UTILIZATION_MAX 1.3
-/* With a load estimate that decays to zero, the load is higher than known. */
-#define INEXACT_UTILIZATION_MAX 0.75
+/* Where no programs are less urgent, the load is estimated from old reports
+ * (loadest.c) and is higher than known. */
+#define DEFAULT_UTILIZATION_MAX 0.75
 
 enum mu_shed_class
-mu_shed_class(
-    const struct mu_shed_conf *conf, uint32_t priority, uint32_t least_urgent)
+mu_shed_class(uint32_t first, uint32_t priority, uint32_t least_urgent)
 {
-	if (conf->first_priority == 0 || least_urgent < conf->first_priority)
+	if (first == 0 || least_urgent < first)
 		return MU_SHED_DEFAULT;
-	return priority >= conf->first_priority ? MU_SHED_FIRST : MU_SHED_LAST;
+	return priority >= first ? MU_SHED_FIRST : MU_SHED_LAST;
 }
 
 bool
-mu_shed_admits(const struct mu_shed_conf *conf, enum mu_shed_class class,
-    double utilization)
+mu_shed_admits(enum mu_shed_class cl, double utilization)
 {
-	switch (class) {
+	switch (cl) {
+	case MU_SHED_DEFAULT:
+		break;
 	case MU_SHED_FIRST:
 		return utilization < FIRST_UTILIZATION_MAX;
 	case MU_SHED_LAST:
 		return utilization < LAST_UTILIZATION_MAX;
-	case MU_SHED_DEFAULT:
-		break;
 	}
-	return utilization < (conf->exact_load ? LAST_UTILIZATION_MAX
-					       : INEXACT_UTILIZATION_MAX);
+	return utilization < DEFAULT_UTILIZATION_MAX;
 }
 
-const char *mu_shed_class_name(enum mu_shed_class class)
+const char *
+mu_shed_class_name(enum mu_shed_class cl)
 {
 	static const char *const names[] = {"default", "first", "last"};
 
-	return names[class];
+	return names[cl];
 }
--- a/src/shed.h
+++ b/src/shed.h
@@ -12,22 +12,12 @@
 	MU_SHED_LAST /* the others, where some are less urgent */
 };
 
-/* How a daemon sheds load (settings load_estimate and shed_priority). */
-struct mu_shed_conf {
-	/* The load is estimated with the mean of the service, so that it is
-	 * not too low (loadest.c). */
-	bool exact_load;
-	/* Routes of this priority or a less urgent one (a higher number) are
-	 * shed first; 0: none. */
-	uint32_t first_priority;
-};
-
-/* least_urgent: highest priority number of the service's program routes. */
-enum mu_shed_class mu_shed_class(
-    const struct mu_shed_conf *conf, uint32_t priority, uint32_t least_urgent);
+/* Routes with the priority `first`, or a higher number, are shed first; 0: no
+ * route.  least_urgent: highest priority number of the service's routes. */
+enum mu_shed_class
+mu_shed_class(uint32_t first, uint32_t priority, uint32_t least_urgent);
 /* utilization: requests in progress and queued per slot of the service. */
-bool mu_shed_admits(const struct mu_shed_conf *conf, enum mu_shed_class class,
-    double utilization);
-const char *mu_shed_class_name(enum mu_shed_class class);
+bool mu_shed_admits(enum mu_shed_class cl, double utilization);
+const char *mu_shed_class_name(enum mu_shed_class cl);
 
 #endif
--- a/src/targets.c
+++ b/src/targets.c
@@ -299,7 +299,7 @@
 static double
 estimate_others(const struct mu_target *x, mu_us now)
 {
-	double reported = mu_loadest_others(x->owner->load_estimate, &x->load,
+	double reported = mu_loadest_others(x->group->load_estimate, &x->load,
 	    &x->group->mean_load, x->info.slots, now);
 
 	return reported > x->peer_requests ? reported : x->peer_requests;
--- a/src/targets.h
+++ b/src/targets.h
@@ -69,6 +69,7 @@
 	struct cds_list_head targets;
 	struct cds_list_head waiting; /* struct mu_call, in sending order */
 	uint32_t nwaiting;
+	enum mu_loadest_kind load_estimate;
 	struct mu_loadest_mean mean_load;
 	mu_us call_time; /* smoothed average duration of a call */
 	struct mu_pace pace;
@@ -91,7 +92,6 @@
 	struct mu_loop *loop;
 	struct mu_crashes *crashes; /* gets the evidence; may be NULL */
 	char domain[MU_NAME_LEN]; /* of this daemon */
-	enum mu_loadest_kind load_estimate;
 	struct mu_hmap by_name;
 	struct mu_hmap groups;
 	uint64_t rng;
--- a/test/test_choose.c
+++ b/test/test_choose.c
@@ -213,7 +213,6 @@
 static unsigned
 completed_in_time(bool admit_all)
 {
-	static const struct mu_shed_conf conf = {0};
 	enum {
 		SLOTS_TOTAL = N * SLOTS,
 		TURNS = 4,
@@ -231,7 +230,7 @@
 		if (running[1] < 100000)
 			for (t = 0; t < PER_STEP; t++)
 				if (admit_all ||
-				    mu_shed_admits(&conf, MU_SHED_DEFAULT,
+				    mu_shed_admits(MU_SHED_DEFAULT,
 					(double)(busy + t) / SLOTS_TOTAL))
 					running[0]++;
 		step = busy > SLOTS_TOTAL ? (double)busy / SLOTS_TOTAL : 1;
