Shed: callers of refused programs return by what their program can wait

Cause: all were told 350 ms, so a program of ten seconds used up its attempts within two, and callers refused in one moment returned together.

Change: an eighth of the program's time, 250 to 1200 ms, spread by a quarter. Services without less urgent programs keep the 350 ms.

--- a/src/call.c
+++ b/src/call.c
@@ -38,8 +38,6 @@
  * one has started again, or others are ready. */
 #define RETRY_AFTER_ELSEWHERE_MS 1
 #define RETRY_AFTER_RESTART_MS 1000
-/* Some turns end within this time, and a caller can retry several times. */
-#define RETRY_AFTER_NEW_PROGRAM_MS 350
 
 /* Final answers. */
 
@@ -425,7 +423,9 @@
 		    c->req.program, "service", c->group->name, "class",
 		    mu_shed_class_name(c->shed_class), "utilization",
 		    c->utilization);
-		mu_call_end_with_error(c, 503, RETRY_AFTER_NEW_PROGRAM_MS,
+		mu_call_end_with_error(c, 503,
+		    mu_shed_retry_ms(c->shed_class, c->req.program_left_ms,
+			&c->s->targets.rng),
 		    "no_place_for_new_programs");
 		return;
 	}
--- a/src/shed.c
+++ b/src/shed.c
@@ -13,6 +13,7 @@
  * others, so they are refused only when requests pile up in front of the slots.
  */
 #include "shed.h"
+#include "view.h"
 
 /* Requests per slot from which no program of a class starts. */
 #define FIRST_UTILIZATION_MAX 0.6
@@ -23,6 +24,15 @@
  * (loadest.c) and is higher than known. */
 #define DEFAULT_UTILIZATION_MAX 0.75
 
+/* Some turns end within this time, and a caller can retry several times. */
+#define RETRY_DEFAULT_MS 350
+/* A long program can wait longer for room and still end in time: its limit
+ * exceeds its time on idle endpoints by a third or more, and it has a few
+ * attempts. */
+#define RETRY_LEFT_DIVISOR 8
+#define RETRY_MIN_MS 250
+#define RETRY_MAX_MS 1200 /* callers honor a third of their time limit */
+
 enum mu_shed_class
 mu_shed_class(uint32_t first, uint32_t priority, uint32_t least_urgent)
 {
@@ -45,6 +55,22 @@
 	return utilization < DEFAULT_UTILIZATION_MAX;
 }
 
+/* Spread by a quarter to either side, so that the callers refused in one moment
+ * don't return together. */
+uint32_t
+mu_shed_retry_ms(enum mu_shed_class cl, uint32_t left_ms, uint64_t *rng)
+{
+	uint32_t ms = left_ms / RETRY_LEFT_DIVISOR;
+
+	if (cl == MU_SHED_DEFAULT)
+		return RETRY_DEFAULT_MS;
+	if (ms < RETRY_MIN_MS)
+		ms = RETRY_MIN_MS;
+	if (ms > RETRY_MAX_MS)
+		ms = RETRY_MAX_MS;
+	return ms * 3 / 4 + (uint32_t)(mu_rand(rng) % (ms / 2));
+}
+
 const char *
 mu_shed_class_name(enum mu_shed_class cl)
 {
