--- a/src/buf.c
+++ b/src/buf.c
@@ -13,27 +13,60 @@
 
 #define INITIAL_BYTES 512
 
-char *
-mu_buf_reserve(struct mu_buf *b, size_t n)
+static bool
+should_compact(const struct mu_buf *b)
+{
+	return b->start > 0 && b->start >= b->len / 2;
+}
+
+static void
+compact(struct mu_buf *b)
+{
+	memmove(b->p, b->p + b->start, b->len - b->start);
+	b->len -= b->start;
+	b->start = 0;
+}
+
+static int
+resize(struct mu_buf *b, size_t size)
 {
-	size_t size = b->size != 0 ? b->size : INITIAL_BYTES;
 	char *p;
 
-	if (b->start > 0 && b->start >= b->len / 2) {
-		memmove(b->p, b->p + b->start, b->len - b->start);
-		b->len -= b->start;
-		b->start = 0;
-	}
-	while (size < b->len + n + 1)
+	if (size == b->size)
+		return 0;
+	p = realloc(b->p, size);
+	if (p == NULL)
+		return MU_E_NOMEM;
+	b->p = p;
+	b->size = size;
+	return 0;
+}
+
+size_t
+mu_buf_size_for(const struct mu_buf *b, size_t n)
+{
+	size_t size = b->size != 0 ? b->size : INITIAL_BYTES;
+	size_t len = should_compact(b) ? b->len - b->start : b->len;
+
+	while (size < len + n + 1)
 		size *= 2;
-	if (size != b->size) {
-		p = realloc(b->p, size);
-		if (p == NULL)
-			return NULL;
-		b->p = p;
-		b->size = size;
-	}
-	return b->p + b->len;
+	return size;
+}
+
+int
+mu_buf_set_size(struct mu_buf *b, size_t size)
+{
+	if (b->start > 0)
+		compact(b);
+	return size > b->len ? resize(b, size) : MU_E_NOMEM;
+}
+
+char *
+mu_buf_reserve(struct mu_buf *b, size_t n)
+{
+	if (should_compact(b))
+		compact(b);
+	return resize(b, mu_buf_size_for(b, n)) == 0 ? b->p + b->len : NULL;
 }
 
 int
--- a/src/buf.h
+++ b/src/buf.h
@@ -16,6 +16,11 @@
 /* Makes room for n more bytes and a NUL and returns where they go; NULL if out
  * of memory. */
 char *mu_buf_reserve(struct mu_buf *b, size_t n);
+/* The allocated size after room for n more bytes has been made. */
+size_t mu_buf_size_for(const struct mu_buf *b, size_t n);
+/* Allocates exactly this size, of which one byte is for the NUL; it must be
+ * more than the content.  Returns 0 or MU_E_NOMEM. */
+int mu_buf_set_size(struct mu_buf *b, size_t size);
 /* Returns 0 or MU_E_NOMEM. */
 int mu_buf_add(struct mu_buf *b, const void *data, size_t n);
 int mu_buf_printf(struct mu_buf *b, const char *fmt, ...)
--- a/src/inbound.c
+++ b/src/inbound.c
@@ -18,7 +18,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "inbound.h"
+#include "inbound_private.h"
 #include "log.h"
 #include "net.h"
 
@@ -31,19 +31,30 @@
 #define FIELD_RECORD_BYTES 64
 #define CONNECTION_MEMORY_BYTES (2 * MAX_REQUEST_HEAD_BYTES)
 #define STREAM_BLOCK_BYTES 4096
-
-struct mu_inbound {
-	struct mu_loop *loop;
-	struct mu_in_conf conf;
-	struct MHD_Daemon *daemon;
-	struct mu_watch watch;
-	struct mu_timer timer;
-	struct mu_hook hook;
-	bool needs_run; /* libmicrohttpd has work pending */
-	bool accepting;
-	bool leaving;
-	unsigned nrequests; /* read whole and not answered whole */
-};
+/* Larger answers are read block by block, which shows whether the caller takes
+ * them; smaller ones go out in one write with their head. */
+#define LARGE_ANSWER_BYTES ((size_t)64 << 10)
+#define ANSWER_BLOCK_BYTES 16384
+#define LOG_INTERVAL_US MU_US_PER_S
+/* Of a body without room: stalled ones can be dropped a second later. */
+#define RETRY_AFTER_S "1"
+/* Connections that the library accepts before it has closed those that were
+ * shut down for them. */
+#define CONNECTIONS_IN_CLOSE 32
+
+bool
+mu_in_may_log(struct mu_inbound *in, struct mu_in_log_limit *l)
+{
+	mu_us now = mu_loop_now(in->loop);
+
+	if (now < l->next_at) {
+		l->suppressed++;
+		return false;
+	}
+	l->next_at = now + LOG_INTERVAL_US;
+	l->suppressed = 0;
+	return true;
+}
 
 static int
 connection_fd(struct MHD_Connection *c)
@@ -62,8 +73,8 @@
 	r->watching = false;
 }
 
-static void
-resume(struct mu_in_req *r)
+void
+mu_in_resume(struct mu_in_req *r)
 {
 	if (!r->suspended)
 		return;
@@ -81,7 +92,7 @@
 
 	r->caller_closed = true;
 	r->aborted = true;
-	resume(r);
+	mu_in_resume(r);
 }
 
 static void
@@ -119,7 +130,7 @@
 	if (response == NULL) {
 		mu_log(MU_LOG_ERROR, "inbound", "out_of_memory", NULL);
 		r->aborted = true;
-		resume(r);
+		mu_in_resume(r);
 		return;
 	}
 	for (i = 0; i < n; i++)
@@ -130,7 +141,7 @@
 		    response, MHD_HTTP_HEADER_CONNECTION, "close");
 	r->response = response;
 	r->status = status;
-	resume(r);
+	mu_in_resume(r);
 }
 
 void
@@ -174,6 +185,7 @@
 			n = max;
 		memcpy(to, mu_buf_data(&r->stream_buf), n);
 		mu_buf_consume(&r->stream_buf, n);
+		mu_in_unsent_taken(r);
 		return (ssize_t)n;
 	}
 	if (r->stream_truncated)
@@ -184,6 +196,31 @@
 	return 0;
 }
 
+void
+mu_in_answer_buf(struct mu_in_req *r, int status,
+    const struct mu_header *headers, size_t n, struct mu_buf *body,
+    struct mu_acct_holder *h)
+{
+	struct mu_acct *a = r->in->conf.acct;
+	size_t len = mu_buf_len(body);
+
+	if (a == NULL || len <= LARGE_ANSWER_BYTES) {
+		mu_in_answer(r, status, headers, n, mu_buf_data(body), len);
+		return;
+	}
+	if (r->response != NULL || r->aborted)
+		return;
+	mu_acct_give(a, h, body->size);
+	mu_acct_force(a, &r->unsent_hold, body->size, mu_loop_now(r->in->loop));
+	r->stream_buf = *body;
+	memset(body, 0, sizeof(*body));
+	r->stream_ended = true;
+	set_response(r, status,
+	    MHD_create_response_from_callback(
+		len, ANSWER_BLOCK_BYTES, read_stream, r, NULL),
+	    headers, n);
+}
+
 void
 mu_in_stream_begin(
     struct mu_in_req *r, int status, const struct mu_header *headers, size_t n)
@@ -199,9 +236,15 @@
 void
 mu_in_stream_write(struct mu_in_req *r, const void *data, size_t len)
 {
+	if (r->aborted)
+		return;
+	if (!mu_in_unsent_grow(r, len)) {
+		mu_in_abort_unread(r);
+		return;
+	}
 	if (mu_buf_add(&r->stream_buf, data, len) != 0)
 		r->aborted = true;
-	resume(r);
+	mu_in_resume(r);
 }
 
 void
@@ -211,18 +254,32 @@
 		r->stream_ended = true;
 	else
 		r->stream_truncated = true;
-	resume(r);
+	mu_in_resume(r);
+}
+
+/* NULL: it could not be allocated. */
+static struct mu_in_conn *
+conn_of(struct MHD_Connection *c)
+{
+	const union MHD_ConnectionInfo *info;
+
+	info = MHD_get_connection_info(c, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+	return info != NULL ? info->socket_context : NULL;
 }
 
 static void *
 on_uri(void *cls, const char *uri, struct MHD_Connection *connection)
 {
 	struct mu_inbound *in = cls;
-	struct mu_in_req *r = calloc(1, sizeof(*r));
+	struct mu_in_conn *c = conn_of(connection);
+	struct mu_in_req *r = c != NULL ? calloc(1, sizeof(*r)) : NULL;
 
 	if (r == NULL)
 		return NULL;
 	r->in = in;
+	r->conn = c;
+	c->r = r;
+	mu_in_conn_receiving(in, c);
 	r->connection = connection;
 	r->uri = strdup(uri);
 	r->target = r->uri;
@@ -261,15 +318,46 @@
 	return rc == MHD_YES ? rc : queue_failure(r);
 }
 
+/* Answers a request before its body; the library reads nothing after it. */
 static enum MHD_Result
-append_body(struct mu_in_req *r, const char *data, size_t *size)
+refuse_at_head(struct mu_in_req *r, int status, const char *error)
 {
-	if (r->body.len + *size > r->in->conf.max_body)
-		r->too_large = true;
-	else if (mu_buf_add(&r->body, data, *size) != 0)
+	struct MHD_Response *response;
+	char body[64];
+	int len = snprintf(body, sizeof(body), "{\"error\":\"%s\"}", error);
+
+	response = MHD_create_response_from_buffer(
+	    (size_t)len, body, MHD_RESPMEM_MUST_COPY);
+	if (response == NULL)
 		return MHD_NO;
-	*size = 0;
-	return MHD_YES;
+	(void)MHD_add_response_header(
+	    response, MHD_HTTP_HEADER_CONTENT_TYPE, "application/json");
+	(void)MHD_add_response_header(
+	    response, MHD_HTTP_HEADER_CONNECTION, "close");
+	if (status == MHD_HTTP_SERVICE_UNAVAILABLE)
+		(void)MHD_add_response_header(
+		    response, MHD_HTTP_HEADER_RETRY_AFTER, RETRY_AFTER_S);
+	r->response = response;
+	r->status = status;
+	return queue_response(r);
+}
+
+static enum MHD_Result
+receive_head(struct mu_in_req *r, const char *method, const char *version)
+{
+	const char *error = NULL;
+	int status;
+
+	if (r->uri == NULL || r->arena == NULL || r->conn->closing)
+		return MHD_NO;
+	r->method = method;
+	r->is_http10 = strcmp(version, MHD_HTTP_VERSION_1_0) == 0;
+	r->has_body =
+	    mu_in_header(r, MHD_HTTP_HEADER_CONTENT_LENGTH) != NULL ||
+	    mu_in_header(r, MHD_HTTP_HEADER_TRANSFER_ENCODING) != NULL;
+	mu_in_conn_receiving(r->in, r->conn);
+	status = mu_in_body_begin(r, &error);
+	return status != 0 ? refuse_at_head(r, status, error) : MHD_YES;
 }
 
 /* Whether the request's head takes memory that its answer may need. */
@@ -299,6 +387,7 @@
 
 	r->dispatched = true;
 	in->nrequests++;
+	mu_in_body_complete(r);
 	MHD_set_connection_option(
 	    r->connection, MHD_CONNECTION_OPTION_TIMEOUT, 0U);
 	if (head_too_large(r))
@@ -318,18 +407,17 @@
 
 	if (r == NULL)
 		return MHD_NO;
-	if (r->method == NULL) {
-		if (r->uri == NULL || r->arena == NULL)
-			return MHD_NO;
-		r->method = method;
-		r->is_http10 = strcmp(version, MHD_HTTP_VERSION_1_0) == 0;
-		r->has_body =
-		    mu_in_header(r, MHD_HTTP_HEADER_CONTENT_LENGTH) != NULL ||
-		    mu_in_header(r, MHD_HTTP_HEADER_TRANSFER_ENCODING) != NULL;
+	if (r->method == NULL)
+		return receive_head(r, method, version);
+	if (*size > 0) {
+		/* The rest of a dropped body is not kept; the library closes
+		 * the connection that was shut down. */
+		(void)mu_in_body_add(r, data, *size);
+		*size = 0;
 		return MHD_YES;
 	}
-	if (*size > 0)
-		return append_body(r, data, size);
+	if (r->dropped)
+		return MHD_NO;
 	if (r->aborted)
 		return MHD_NO;
 	if (r->dispatched)
@@ -390,23 +478,31 @@
 		in->conf.hooks.closed(
 		    in->conf.hooks.arg, r, r->end == MU_IN_SENT);
 	}
-	mu_buf_clear(&r->body);
-	mu_buf_clear(&r->stream_buf);
+	mu_in_body_free(r);
+	r->conn->r = NULL;
+	mu_in_conn_idle(in, r->conn);
 	mu_arena_free(r->arena);
 	free(r->uri);
 	free(r);
 }
 
 static void
-on_connection(void *cls __attribute__((unused)),
-    struct MHD_Connection *connection, void **state __attribute__((unused)),
+on_connection(void *cls, struct MHD_Connection *connection, void **state,
     enum MHD_ConnectionNotificationCode code)
 {
+	struct mu_inbound *in = cls;
 	int fd = connection_fd(connection), on = 1,
 	    ack_timeout_ms = ACK_TIMEOUT_MS;
 
-	if (code != MHD_CONNECTION_NOTIFY_STARTED || fd < 0)
+	if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
+		if (*state != NULL)
+			mu_in_conn_free(in, *state);
+		*state = NULL;
+		return;
+	}
+	if (fd < 0)
 		return;
+	*state = mu_in_conn_open(in, fd);
 	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ack_timeout_ms,
 	    sizeof(ack_timeout_ms));
@@ -439,13 +535,25 @@
 
 /* Logs libmicrohttpd's messages, most of them about callers' connections. */
 static void
-on_library_log(void *cls __attribute__((unused)), const char *fmt, va_list ap)
+on_library_log(void *cls, const char *fmt, va_list ap)
 {
+	struct mu_inbound *in = cls;
+	unsigned suppressed = in->library_log.suppressed;
 	char text[256];
 
+	if (!mu_in_may_log(in, &in->library_log))
+		return;
 	(void)vsnprintf(text, sizeof(text), fmt, ap);
 	text[strcspn(text, "\n")] = '\0';
-	mu_log(MU_LOG_WARN, "inbound", "library", "{s:s}", "message", text);
+	mu_log(MU_LOG_WARN, "inbound", "library", "{s:s,s:i}", "message", text,
+	    "suppressed", (int)suppressed);
+}
+
+static unsigned
+connection_limit(const struct mu_in_conf *conf)
+{
+	return conf->max_connections +
+	       (conf->strict ? CONNECTIONS_IN_CLOSE : 0);
 }
 
 static int
@@ -458,12 +566,12 @@
 					  MHD_USE_SUPPRESS_DATE_NO_CLOCK |
 					  MHD_USE_ERROR_LOG,
 	    ntohs(sin->sin_port), NULL, NULL, on_access, in,
-	    MHD_OPTION_EXTERNAL_LOGGER, on_library_log, NULL,
+	    MHD_OPTION_EXTERNAL_LOGGER, on_library_log, in,
 	    MHD_OPTION_SOCK_ADDR, (struct sockaddr *)sin,
 	    MHD_OPTION_URI_LOG_CALLBACK, on_uri, in,
 	    MHD_OPTION_NOTIFY_COMPLETED, on_completed, in,
 	    MHD_OPTION_NOTIFY_CONNECTION, on_connection, in,
-	    MHD_OPTION_CONNECTION_LIMIT, (unsigned)in->conf.max_connections,
+	    MHD_OPTION_CONNECTION_LIMIT, connection_limit(&in->conf),
 	    MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)in->conf.idle_s,
 	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_MEMORY_BYTES,
 	    MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
@@ -528,6 +636,8 @@
 		    e, MU_E_NOMEM, MU_OUTCOME_NOT_RUN, 0, "no memory");
 	in->loop = l;
 	in->conf = *conf;
+	CDS_INIT_LIST_HEAD(&in->idle);
+	CDS_INIT_LIST_HEAD(&in->receiving);
 	if (mu_net_parse_addr(conf->listen, &sin) != 0) {
 		free(in);
 		return mu_fail(e, MU_E_CONFIG_INVALID, MU_OUTCOME_NOT_RUN, 0,
--- a/src/inbound.h
+++ b/src/inbound.h
@@ -12,6 +12,7 @@
 
 #include "buf.h"
 #include "loop.h"
+#include "memacct.h"
 #include "upstream.h"
 
 struct mu_inbound; /* one listening address */
@@ -36,6 +37,14 @@
 	uint32_t max_connections;
 	uint32_t idle_s; /* idle connections are closed after this */
 	struct mu_in_hooks hooks;
+	/* Refuses a length over max_body when the head is received, and closes
+	 * the longest idle connection at max_connections.  Otherwise bodies are
+	 * read to their end, and callers beyond the limit wait. */
+	bool strict;
+	struct mu_acct *acct; /* with strict; NULL: the sum is not limited */
+	uint32_t body_timeout_ms; /* with strict; 0: none */
+	/* A stream with more unsent bytes is aborted; 0: no limit. */
+	size_t max_unsent;
 };
 
 /* How a request ended. */
@@ -58,9 +67,16 @@
 	void *user; /* for the handler */
 	struct mu_arena *arena;
 	bool caller_closed; /* the caller has closed its connection */
+	bool unread; /* aborted, since the caller did not read the answer */
 	enum mu_in_end end; /* valid in the `closed` hook */
-	/* Private to inbound.c. */
+	/* Private to inbound.c and inbody.c. */
+	struct mu_in_conn *conn;
 	char *uri;
+	struct mu_timer body_timer;
+	struct mu_acct_holder body_hold; /* of body */
+	struct mu_acct_holder unsent_hold; /* of stream_buf */
+	size_t skipped; /* bytes of a body that is too large */
+	bool dropped; /* the rest of the body is not read */
 	struct mu_watch watch;
 	bool watching;
 	bool suspended;
@@ -94,6 +110,11 @@
 /* Sends a whole answer; the body is copied. */
 void mu_in_answer(struct mu_in_req *r, int status,
     const struct mu_header *headers, size_t n, const void *body, size_t len);
+/* Sends a whole answer; takes over a large body instead of copying it, with the
+ * bytes that h holds for it, and leaves it empty then. */
+void mu_in_answer_buf(struct mu_in_req *r, int status,
+    const struct mu_header *headers, size_t n, struct mu_buf *body,
+    struct mu_acct_holder *h);
 /* Starts an answer whose body is streamed. */
 void mu_in_stream_begin(
     struct mu_in_req *r, int status, const struct mu_header *headers, size_t n);
@@ -102,4 +123,17 @@
  * caller notices. */
 void mu_in_stream_end(struct mu_in_req *r, bool complete);
 
+/* The body is not needed any more: frees it before the request ends. */
+void mu_in_body_done(struct mu_in_req *r);
+
+/* Room in the account, for what is held because of a request. */
+
+/* NULL: nothing is counted. */
+struct mu_acct *mu_in_account(const struct mu_in_req *r);
+void mu_in_holder_init(
+    struct mu_in_req *r, struct mu_acct_holder *h, enum mu_acct_use use);
+/* Takes n bytes, if need be after dropping what stalled callers hold; false if
+ * there is no room. */
+bool mu_in_reserve(struct mu_in_req *r, struct mu_acct_holder *h, size_t n);
+
 #endif
--- a/src/serveconf.c
+++ b/src/serveconf.c
@@ -27,6 +27,12 @@
 #define DEFAULT_LIMIT_SLACK 0
 #define LIMIT_OVERAGE_MAX 10.0
 #define MS_PER_S 1000
+#define DEFAULT_BODY_MAX_BYTES 4194304 /* the platform's own limit */
+#define DEFAULT_BODY_TIMEOUT_MS 30000
+/* A body with the copies made of it on its way takes up to three times its
+ * length, and a quarter of the account is kept for small ones. */
+#define BODY_MEMORY_FACTOR 4
+#define BYTES_PER_MB ((uint64_t)1 << 20)
 
 /* X(field, flag, expected value, default) */
 #define NAMES(X) \
@@ -52,7 +58,16 @@
 	X(config_fresh_ms, DEFAULT_CONFIG_FRESH_MS, 1, 3600000) \
 	X(key_trust_ms, DEFAULT_KEY_TRUST_MS, 0, 3600000) \
 	X(limit_window_ms, DEFAULT_LIMIT_WINDOW_MS, 100, 3600000) \
-	X(limit_slack, DEFAULT_LIMIT_SLACK, 0, 1000000)
+	X(limit_slack, DEFAULT_LIMIT_SLACK, 0, 1000000) \
+	X(body_max_bytes, DEFAULT_BODY_MAX_BYTES, 1024, 268435456) \
+	X(body_timeout_ms, DEFAULT_BODY_TIMEOUT_MS, 100, 600000)
+/* X(field, default, minimum, maximum): 0 if absent, for a default that follows
+ * from the host. */
+#define HOST_NUMBERS(X) \
+	X(body_memory_mb, "a quarter of the host's memory, at least 24", 4, \
+	    1048576) \
+	X(max_connections, \
+	    "256 to 4096, by the host's memory and descriptors", 16, 1000000)
 /* X(field, field in ms that it replaces, minimum, maximum) */
 #define SECONDS(X) \
 	X(stop_s, stop_ms, 0.1, 600) \
@@ -61,6 +76,7 @@
 struct raw {
 #define X(f, def, lo, hi) double *f;
 	NUMBERS(X)
+	HOST_NUMBERS(X)
 #undef X
 #define X(f, ms, lo, hi) double *f;
 	SECONDS(X)
@@ -79,7 +95,7 @@
 #define X(f, def, lo, hi) \
 	CYAML_FIELD_FLOAT_PTR( \
 	    #f, CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw, f),
-    NUMBERS(X) SECONDS(X)
+    NUMBERS(X) HOST_NUMBERS(X) SECONDS(X)
 #undef X
 #define X(f, def) \
 	CYAML_FIELD_FLOAT_PTR( \
@@ -106,13 +122,36 @@
 #define X(f, def, lo, hi) {#f, "a number " #lo " to " #hi, STR(def)},
 	NUMBERS(X)
 #undef X
+#define X(f, def, lo, hi) {#f, "a number " #lo " to " #hi, def},
+	    HOST_NUMBERS(X)
+#undef X
 #define X(f, ms, lo, hi) {#f, "a number " #lo " to " #hi, ""},
-	    SECONDS(X)
+		SECONDS(X)
 #undef X
 #define X(f, def) {#f, "a number 0 to " STR(LIMIT_OVERAGE_MAX), STR(def)},
-		FRACTIONS(X)
+		    FRACTIONS(X)
 #undef X
-		    {NULL, NULL, NULL}};
+			{NULL, NULL, NULL}};
+
+uint64_t
+mu_serveconf_least_body_memory(const struct mu_serveconf *c)
+{
+	return (uint64_t)c->body_max_bytes * BODY_MEMORY_FACTOR;
+}
+
+static int
+check_body_memory(const struct mu_serveconf *c, struct mu_error *e)
+{
+	uint64_t least = mu_serveconf_least_body_memory(c);
+
+	if (c->body_memory_mb == 0 || c->body_memory_mb * BYTES_PER_MB >= least)
+		return 0;
+	return mu_yaml_fail(e, "body_memory_mb",
+	    "%" PRIu32 "; expected at least %" PRIu64
+	    " (%d times body_max_bytes)",
+	    c->body_memory_mb, (least + BYTES_PER_MB - 1) / BYTES_PER_MB,
+	    BODY_MEMORY_FACTOR);
+}
 
 static int
 check(const struct mu_serveconf *c, struct mu_error *e)
@@ -129,7 +168,7 @@
 		rc = mu_yaml_addr(#f, c->f, e);
 	ADDRS(X)
 #undef X
-	return rc;
+	return rc != 0 ? rc : check_body_memory(c, e);
 }
 
 /* NaN is out of range, too. */
@@ -203,6 +242,11 @@
 		rc = read_number(#f, r->f, def, lo, hi, &c->f, e);
 	NUMBERS(X)
 #undef X
+#define X(f, def, lo, hi) \
+	if (rc == 0 && r->f != NULL) \
+		rc = read_number(#f, r->f, 0, lo, hi, &c->f, e);
+	HOST_NUMBERS(X)
+#undef X
 #define X(f, ms, lo, hi) \
 	if (rc == 0) \
 		rc = read_seconds(#f, r->f, r->ms, lo, hi, &c->ms, e);
--- a/src/serveconf.h
+++ b/src/serveconf.h
@@ -27,6 +27,12 @@
 	uint32_t limit_window_ms;
 	uint32_t limit_slack;
 	double limit_overage;
+	/* For request bodies and other bytes held for callers, in MiB, and
+	 * callers' connections; 0: by the host's size (memacct.h). */
+	uint32_t body_memory_mb;
+	uint32_t max_connections;
+	uint32_t body_max_bytes; /* of one body */
+	uint32_t body_timeout_ms; /* from the head to the end of the body */
 	char *log_level; /* debug, info, warn or error */
 };
 
@@ -36,6 +42,8 @@
     const char *file, struct mu_serveconf **c, struct mu_error *e);
 int mu_serveconf_parse(
     const char *yaml, size_t len, struct mu_serveconf **c, struct mu_error *e);
+/* The bytes that one body of body_max_bytes needs in the account. */
+uint64_t mu_serveconf_least_body_memory(const struct mu_serveconf *c);
 void mu_serveconf_free(struct mu_serveconf *c);
 
 #endif
--- a/test/test_serveconf.c
+++ b/test/test_serveconf.c
@@ -65,7 +65,17 @@
 	    {GOOD "stop_ms: -3000\n", "stop_ms"},
 	    {GOOD "stop_s: 0.05\n", "stop_s"}, {GOOD "stop_s: 601\n", "stop_s"},
 	    {GOOD "stop_s: 8\nstop_ms: 8000\n", "stop_s"},
-	    {GOOD "limit_window_s: 0\n", "limit_window_s"}, {"host: d1\n", ""}};
+	    {GOOD "limit_window_s: 0\n", "limit_window_s"},
+	    {GOOD "body_max_bytes: 0\n", "body_max_bytes"},
+	    {GOOD "body_max_bytes: many\n", "body_max_bytes"},
+	    {GOOD "body_timeout_ms: 10\n", "body_timeout_ms"},
+	    {GOOD "max_connections: 3\n", "max_connections"},
+	    {GOOD "max_connections: 0\n", "max_connections"},
+	    {GOOD "body_memory_mb: 0\n", "body_memory_mb"},
+	    {GOOD "body_memory_mb: 15\n", "body_memory_mb"},
+	    {GOOD "body_memory_mb: 24\nbody_max_bytes: 8388608\n",
+		"body_memory_mb"},
+	    {"host: d1\n", ""}};
 	struct mu_error e;
 	size_t i;
 
@@ -116,6 +126,39 @@
 	}
 }
 
+/* An absent limit follows from the host: 0 tells that it was not set. */
+static void
+test_limits_of_what_callers_hold(void **state)
+{
+	static const struct {
+		const char *yaml;
+		uint32_t memory_mb, connections, max_bytes, timeout_ms;
+	} good[] = {{GOOD, 0, 0, 4194304, 30000},
+	    {GOOD "body_memory_mb: 24\nmax_connections: 64.0\n", 24, 64,
+		4194304, 30000},
+	    {GOOD "body_memory_mb: 16\n", 16, 0, 4194304, 30000},
+	    {GOOD "body_memory_mb: 4\nbody_max_bytes: 65536\n"
+		  "body_timeout_ms: 5000\n",
+		4, 0, 65536, 5000}};
+	struct mu_serveconf *c = NULL;
+	struct mu_error e;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(good) / sizeof(*good); i++) {
+		memset(&e, 0, sizeof(e));
+		if (mu_serveconf_parse(
+			good[i].yaml, strlen(good[i].yaml), &c, &e) != 0)
+			fail_msg("%s: %s", good[i].yaml, e.message);
+		assert_int_equal(c->body_memory_mb, good[i].memory_mb);
+		assert_int_equal(c->max_connections, good[i].connections);
+		assert_int_equal(c->body_max_bytes, good[i].max_bytes);
+		assert_int_equal(c->body_timeout_ms, good[i].timeout_ms);
+		mu_serveconf_free(c);
+		c = NULL;
+	}
+}
+
 /* Guards against a template that appends digits to a bound: with a fraction
  * these make another number. */
 static void
@@ -144,7 +187,8 @@
 	    "metrics_addr", "store_addr", "stop_ms", "address_ttl_ms",
 	    "config_fresh_ms", "key_trust_ms", "limit_window_ms",
 	    "limit_overage", "limit_slack", "log_level", "stop_s",
-	    "limit_window_s"};
+	    "limit_window_s", "body_memory_mb", "body_max_bytes",
+	    "body_timeout_ms", "max_connections"};
 	char page[8192], row[64];
 	FILE *f = fopen("docs/serving-settings.md", "re");
 	size_t i, n;
@@ -167,6 +211,7 @@
 	    cmocka_unit_test(test_good),
 	    cmocka_unit_test(test_bad),
 	    cmocka_unit_test(test_numbers_with_a_fraction),
+	    cmocka_unit_test(test_limits_of_what_callers_hold),
 	    cmocka_unit_test(test_template_takes_bounds_as_they_are),
 	    cmocka_unit_test(test_page_names_every_setting),
 	};
