--- a/src/attempt.c
+++ b/src/attempt.c
@@ -25,6 +25,11 @@
 #define OVERDUE_FACTOR 8
 #define OVERDUE_MIN_US (400 * MU_US_PER_MS)
 #define SMOOTHING_DIVISOR 16 /* weight of a new sample: 1/16 */
+/* Answers up to this size are read even without room, as the request before
+ * them was small as a rule. */
+#define SMALL_ANSWER_BYTES ((size_t)64 << 10)
+/* Interval between attempts to get room for the rest of an answer. */
+#define ROOM_INTERVAL_US (20 * MU_US_PER_MS)
 
 /* Ends the call's use of its endpoint and sends queued calls.  took is the time
  * per event, or of a plain answer, for the endpoint's health; 0: unknown. */
@@ -41,6 +46,7 @@
 	c->exchange = NULL;
 	x->sent--;
 	mu_timer_clear(c->s->loop, &c->overdue_timer);
+	mu_timer_clear(c->s->loop, &c->room_timer);
 	if (x->listed && !(c->overdue_reported && result == MU_HEALTH_FAILURE))
 		mu_target_request_ended(&c->s->targets, x, result, took);
 	mu_target_release(&c->s->targets, x);
@@ -265,6 +271,82 @@
 	return 0;
 }
 
+/* Counts what is held of the answer, with room or without. */
+static void
+count_answer(struct mu_call *c)
+{
+	size_t now = c->answer.size + c->output.size;
+	size_t counted = c->answer_hold.bytes;
+
+	if (c->acct == NULL)
+		return;
+	if (now > counted)
+		mu_acct_force(c->acct, &c->answer_hold, now - counted,
+		    mu_loop_now(c->s->loop));
+	else
+		mu_acct_give(c->acct, &c->answer_hold, counted - now);
+}
+
+/* Takes room for the answer's next allocation; false if there is none. */
+static bool
+reserve_answer(struct mu_call *c, size_t size)
+{
+	return c->acct == NULL || size <= c->answer.size ||
+	       size <= SMALL_ANSWER_BYTES ||
+	       mu_in_reserve(c->in, &c->answer_hold, size - c->answer.size);
+}
+
+/* Reads on once there is room for the rest of the answer, as far as its size is
+ * known.  One answer at a time is read without, and counts as such until its
+ * request has ended. */
+static void
+on_room_retry(void *arg)
+{
+	struct mu_call *c = arg;
+	size_t size = 2 * c->answer.size;
+
+	if (size > MAX_BUFFERED_BYTES + 1)
+		size = MAX_BUFFERED_BYTES + 1;
+	if (!reserve_answer(c, size)) {
+		if (c->s->overdraft != NULL) {
+			mu_timer_set(c->s->loop, &c->room_timer,
+			    mu_loop_now(c->s->loop) + ROOM_INTERVAL_US);
+			return;
+		}
+		c->s->overdraft = c;
+	}
+	(void)mu_buf_set_size(&c->answer, size);
+	count_answer(c);
+	mu_up_resume(c->exchange);
+}
+
+/*
+ * Adds a piece of the answer.  Without room for a large one the rest is not
+ * read for now: the endpoint waits, as for a slow caller, rather than that the
+ * answer of a request that has run is lost.
+ */
+static int
+add_answer(struct mu_call *c, const char *data, size_t len)
+{
+	size_t size = mu_buf_size_for(&c->answer, len);
+	bool room =
+	    c->forwarding || c->s->overdraft == c || reserve_answer(c, size);
+
+	if (!room && mu_buf_set_size(&c->answer, c->answer.len + len + 1) != 0)
+		return MU_E_NOMEM;
+	if (mu_buf_add(&c->answer, data, len) != 0)
+		return MU_E_NOMEM;
+	count_answer(c);
+	if (!room) {
+		mu_up_pause(c->exchange);
+		c->room_timer.fn = on_room_retry;
+		c->room_timer.arg = c;
+		mu_timer_set(c->s->loop, &c->room_timer,
+		    mu_loop_now(c->s->loop) + ROOM_INTERVAL_US);
+	}
+	return 0;
+}
+
 static void
 on_body(void *arg, const char *data, size_t len)
 {
@@ -273,10 +355,11 @@
 	if (c->not_run)
 		return;
 	if (mu_buf_len(&c->answer) + len > MAX_BUFFERED_BYTES ||
-	    mu_buf_add(&c->answer, data, len) != 0)
+	    add_answer(c, data, len) != 0)
 		goto fail;
 	if (c->forwarding && mu_sse_feed(&c->sse, data, len, on_event, c) != 0)
 		goto fail;
+	count_answer(c);
 	return;
 fail:
 	if (c->reservation_exceeded) {
--- a/src/call.c
+++ b/src/call.c
@@ -116,6 +116,18 @@
 	mu_home_settle(c->s->home, &c->grant, &t);
 }
 
+/* The request won't be sent again: frees its body before the caller has taken
+ * the answer. */
+static void
+release_body(struct mu_call *c)
+{
+	if (c->exchange != NULL || c->closed)
+		return;
+	mu_in_body_done(c->in);
+	c->req.body = NULL;
+	c->req.len = 0;
+}
+
 /* Clears the deadline timer, leaves the queue, settles the reservation and
  * returns the token of a request that did not run. */
 static void
@@ -127,6 +139,7 @@
 		c->group->nwaiting--;
 	}
 	c->state = ST_ANSWERED;
+	release_body(c);
 	settle(c, NULL);
 	if (c->possible_runs == 0)
 		mu_call_return_token(c);
@@ -217,8 +230,8 @@
 		    c->in, mu_buf_data(&c->answer), mu_buf_len(&c->answer));
 		mu_in_stream_end(c->in, true);
 	} else {
-		mu_in_answer(c->in, c->status, c->headers, c->nheaders,
-		    mu_buf_data(&c->answer), mu_buf_len(&c->answer));
+		mu_in_answer_buf(c->in, c->status, c->headers, c->nheaders,
+		    &c->answer, &c->answer_hold);
 	}
 }
 
@@ -267,6 +280,10 @@
 	mu_buf_clear(&c->body);
 	mu_buf_clear(&c->answer);
 	mu_buf_clear(&c->output);
+	if (c->acct != NULL) {
+		mu_acct_give(c->acct, &c->copies, SIZE_MAX);
+		mu_acct_give(c->acct, &c->answer_hold, SIZE_MAX);
+	}
 	mu_sse_clear(&c->sse);
 	mu_routes_unref(c->routes);
 	mu_arena_free(c->arena);
@@ -312,6 +329,11 @@
 		abort();
 	c->state = ST_COMMITTING;
 	c->references++;
+	mu_buf_clear(&c->body);
+	/* The record's copy of the output, and its encoded form. */
+	if (c->acct != NULL)
+		mu_acct_force(c->acct, &c->copies, 2 * mu_buf_len(&c->output),
+		    mu_loop_now(c->s->loop));
 	k->c = c;
 	k->rec = make_record(c);
 	mu_history_commit(c->s->history, k->rec, c->route->keep, c->deadline,
@@ -428,13 +450,39 @@
 	    c, 429, c->limit_retry_ms, "rate_limited_new_program");
 }
 
+/*
+ * Reserves room for copies of the body before the request is passed on: the
+ * turn's record and its encoded form, and before them the text with history,
+ * which is freed when the record is made.  Returns false if there is none and
+ * the request has been refused.
+ */
+static bool
+reserve_copies(struct mu_call *c, size_t text)
+{
+	size_t most = c->route->keeps_history ? 2 * c->req.len : 0;
+
+	if (text > most)
+		most = text;
+	if (most <= c->copies.bytes ||
+	    mu_in_reserve(c->in, &c->copies, most - c->copies.bytes))
+		return true;
+	mu_call_end_with_error(c, 503, RETRY_AFTER_OVERLOAD_MS, "no_room");
+	return false;
+}
+
 /* The turn's budget is reserved: adds its history and sends it. */
 static void
 send_turn(struct mu_call *c)
 {
+	struct mu_history *h = c->s->history;
+	size_t len;
+
 	if (c->previous_id != NULL) {
-		if (mu_history_text(c->s->history, c->previous_id, &c->body) !=
-			0 ||
+		len = mu_history_text_len(h, c->previous_id) + c->req.len;
+		if (!reserve_copies(c, len + 1))
+			return;
+		if (mu_buf_set_size(&c->body, len + 1) != 0 ||
+		    mu_history_text(h, c->previous_id, &c->body) != 0 ||
 		    mu_buf_add(&c->body, c->req.body, c->req.len) != 0) {
 			mu_call_end_with_error(c, 503, MU_CALL_RETRY_AFTER_MS,
 			    "history_unavailable");
@@ -588,6 +636,8 @@
 void
 mu_call_admitted(struct mu_call *c)
 {
+	if (!reserve_copies(c, 0))
+		return;
 	if (c->req.has_budget || c->previous_id != NULL)
 		begin_turn(c);
 	else
@@ -610,6 +660,9 @@
 	c->references = 1;
 	c->arrived = mu_loop_now(s->loop);
 	c->state = ST_PREPARING;
+	c->acct = mu_in_account(r);
+	mu_in_holder_init(r, &c->copies, MU_ACCT_BODY);
+	mu_in_holder_init(r, &c->answer_hold, MU_ACCT_ANSWER);
 	mu_sse_init(&c->sse, MAX_EVENT_BYTES);
 	r->user = c;
 	cds_list_add_tail(&c->in_progress, &s->calls);
@@ -649,9 +702,13 @@
 	if (c == NULL)
 		return;
 	r->user = NULL;
+	if (c->s->overdraft == c)
+		c->s->overdraft = NULL;
 	mu_attempt_cancel(c, MU_HEALTH_BUSY);
 	if (c->state != ST_ANSWERED) {
-		c->reason = ok ? "closed" : "caller_gone";
+		c->reason = ok          ? "closed"
+			    : r->unread ? "answer_not_read"
+					: "caller_gone";
 		log_end(c, 0);
 		release_resources(c);
 	} else if (!ok && r->end != MU_IN_CUT) {
--- a/src/call_private.h
+++ b/src/call_private.h
@@ -58,6 +58,11 @@
 	bool overdue_reported; /* counted against the endpoint's health */
 	struct mu_turn_reservation grant;
 	struct mu_buf body; /* history and input; empty: use req.body */
+	/* Room for what the call holds; acct NULL: not counted. */
+	struct mu_acct *acct;
+	struct mu_acct_holder copies; /* of the request's body */
+	struct mu_acct_holder answer_hold; /* answer and output */
+	struct mu_timer room_timer; /* while the answer is not read */
 	/* The current attempt and those before it. */
 	struct mu_target *target;
 	struct mu_up_exchange *exchange;
--- a/src/history.c
+++ b/src/history.c
@@ -183,3 +183,21 @@
 	}
 	return append_turn(t->rec, text);
 }
+
+size_t
+mu_history_text_len(struct mu_history *h, const char *turn)
+{
+	const Mu__TurnRecord *r = mu_history_find(h, turn), *a;
+	size_t i, n;
+
+	if (r == NULL)
+		return 0;
+	n = r->input.len + r->output.len;
+	for (i = 0; i < r->n_ancestors; i++) {
+		a = mu_history_find(h, r->ancestors[i]);
+		if (a == NULL)
+			return 0;
+		n += a->input.len + a->output.len;
+	}
+	return n;
+}
--- a/src/history.h
+++ b/src/history.h
@@ -39,6 +39,9 @@
 int
 mu_history_text(struct mu_history *h, const char *turn, struct mu_buf *text);
 
+/* The length of that text; 0 when a turn is not cached. */
+size_t mu_history_text_len(struct mu_history *h, const char *turn);
+
 /* Writes a copy of rec to the store; fn gets OK or UNAVAILABLE.  The row is
  * removed some time after the retention time has passed. */
 void mu_history_commit(struct mu_history *h, const Mu__TurnRecord *rec,
--- a/src/serve.h
+++ b/src/serve.h
@@ -68,6 +68,8 @@
 	double limit_slack;
 };
 
+struct mu_call;
+
 struct mu_serve {
 	struct mu_loop *loop;
 	struct mu_serve_conf conf;
@@ -91,6 +93,9 @@
 	struct mu_stop stop;
 	struct cds_list_head calls; /* struct mu_call, in progress */
 	unsigned ncalls;
+	/* The call whose answer is read although there is no room for it, so
+	 * that answers which wait for each other end; NULL: none. */
+	const struct mu_call *overdraft;
 	struct mu_follow *follow_config;
 	struct mu_follow *follow_endpoints;
 	struct mu_follow *follow_daemons;
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -46,6 +46,9 @@
 #define REUSE_LIMIT_MIN_US (100 * MU_US_PER_MS)
 #define REUSE_LIMIT_GROWTH_DIVISOR 8 /* 1/8 for each successful reuse */
 #define READ_BUFFER_BYTES 16384
+/* A body of at most this size is copied, to go out in one write with its head.
+ */
+#define COPIED_BODY_BYTES ((size_t)64 << 10)
 /* A new connection that is lost within this time of the request counts as
  * rejected: nearly all calls take longer. */
 #define REJECT_WINDOW_US (5 * MU_US_PER_MS)
@@ -66,7 +69,9 @@
 	struct mu_up_pool *pool;
 	struct mu_watch watch;
 	struct mu_timer timer; /* connect timeout, then idle timeout */
-	struct mu_buf unsent;
+	struct mu_buf unsent; /* head, with a small body */
+	const char *body; /* what is left of a large one; not owned */
+	size_t body_left;
 	http_parser parser;
 	struct mu_up_hooks hooks;
 	bool connecting;
@@ -80,6 +85,7 @@
 	bool used; /* carries or carried an exchange */
 	bool reused; /* carried an earlier exchange */
 	bool last; /* not kept after this exchange */
+	bool paused; /* the answer is not read */
 	bool is_head; /* the request's method is HEAD */
 	unsigned skipped;
 	mu_us started_at; /* start of the exchange */
@@ -435,7 +441,8 @@
 	x->node.next = NULL;
 	raise_reuse_limit(x);
 	if (clean && !x->last && mu_buf_len(&x->unsent) == 0 &&
-	    http_should_keep_alive(&x->parser) && x->idle_limit > 0)
+	    x->body_left == 0 && http_should_keep_alive(&x->parser) &&
+	    x->idle_limit > 0)
 		keep_idle(x);
 	else
 		conn_free(x);
@@ -496,23 +503,55 @@
 		}
 		if (!feed_parser(x, data, (size_t)n))
 			return;
-		if ((size_t)n < sizeof(data))
+		if ((size_t)n < sizeof(data) || x->paused)
 			return;
 	}
 }
 
+/* Events to wait for, besides room for output. */
+static uint32_t
+input_events(const struct mu_up_exchange *x)
+{
+	return x->paused ? 0 : EPOLLIN;
+}
+
+/* The next bytes of the request; 0: all are written. */
+static size_t
+next_output(const struct mu_up_exchange *x, const char **data)
+{
+	if (mu_buf_len(&x->unsent) > 0) {
+		*data = mu_buf_data(&x->unsent);
+		return mu_buf_len(&x->unsent);
+	}
+	*data = x->body;
+	return x->body_left;
+}
+
+static void
+output_written(struct mu_up_exchange *x, size_t n)
+{
+	x->sent = true;
+	if (mu_buf_len(&x->unsent) > 0) {
+		mu_buf_consume(&x->unsent, n);
+		return;
+	}
+	x->body += n;
+	x->body_left -= n;
+}
+
 /* Writes pending output; false if the exchange has failed. */
 static bool
 flush_output(struct mu_up_exchange *x)
 {
+	const char *data;
+	size_t len;
 	ssize_t n;
 
-	while (mu_buf_len(&x->unsent) > 0) {
-		n = send(x->watch.fd, mu_buf_data(&x->unsent),
-		    mu_buf_len(&x->unsent), MSG_NOSIGNAL);
+	while ((len = next_output(x, &data)) > 0) {
+		n = send(x->watch.fd, data, len, MSG_NOSIGNAL);
 		if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
-			mu_watch_set(
-			    x->pool->loop, &x->watch, EPOLLIN | EPOLLOUT);
+			mu_watch_set(x->pool->loop, &x->watch,
+			    input_events(x) | EPOLLOUT);
 			return true;
 		}
 		if (n < 0) {
@@ -520,13 +559,26 @@
 			    x, x->sent ? MU_UP_ABORTED : MU_UP_CONNECT_FAILED);
 			return false;
 		}
-		x->sent = true;
-		mu_buf_consume(&x->unsent, (size_t)n);
+		output_written(x, (size_t)n);
 	}
-	mu_watch_set(x->pool->loop, &x->watch, EPOLLIN);
+	mu_watch_set(x->pool->loop, &x->watch, input_events(x));
 	return true;
 }
 
+void
+mu_up_pause(struct mu_up_exchange *x)
+{
+	x->paused = true;
+	mu_watch_set(x->pool->loop, &x->watch, x->watch.events & ~EPOLLIN);
+}
+
+void
+mu_up_resume(struct mu_up_exchange *x)
+{
+	x->paused = false;
+	mu_watch_set(x->pool->loop, &x->watch, x->watch.events | EPOLLIN);
+}
+
 /* Checks the result of connect(); false if the exchange has failed. */
 static bool
 connect_finished(struct mu_up_exchange *x)
@@ -654,6 +706,17 @@
 	return NULL;
 }
 
+static int
+add_body(struct mu_up_exchange *x, const struct mu_up_req *req)
+{
+	x->body_left = 0;
+	if (req->len <= COPIED_BODY_BYTES)
+		return mu_buf_add(&x->unsent, req->body, req->len);
+	x->body = req->body;
+	x->body_left = req->len;
+	return 0;
+}
+
 struct mu_up_exchange *
 mu_up_start(struct mu_up_pool *p, const struct mu_up_req *req,
     const struct mu_up_hooks *hooks)
@@ -666,7 +729,7 @@
 		return NULL;
 	x->hooks = *hooks;
 	x->busy = x->used = true;
-	x->last = false;
+	x->last = x->paused = false;
 	x->is_head = strcmp(req->method, "HEAD") == 0;
 	x->sent = x->skipping = x->complete = x->answer_started = false;
 	x->skipped = 0;
@@ -678,8 +741,7 @@
 		req->target, req->headers) != 0 ||
 	    (req->has_body && mu_buf_printf(&x->unsent,
 				  "Content-Length: %zu\r\n", req->len) != 0) ||
-	    mu_buf_add(&x->unsent, "\r\n", 2) != 0 ||
-	    mu_buf_add(&x->unsent, req->body, req->len) != 0) {
+	    mu_buf_add(&x->unsent, "\r\n", 2) != 0 || add_body(x, req) != 0) {
 		x->busy = false;
 		x->node.next = NULL;
 		conn_free(x);
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -74,6 +74,8 @@
 	const char *method;
 	const char *target;
 	const char *headers; /* lines, each terminated by CR LF */
+	/* A large body is not copied: it must stay valid until the exchange has
+	 * ended or was cancelled. */
 	const void *body;
 	size_t len;
 	bool has_body; /* Content-Length is sent, even if it is 0 */
@@ -100,6 +102,9 @@
 /* Ends an exchange without calling its end hook and closes the connection.
  * Returns false only if no byte of the request was written to the socket. */
 bool mu_up_cancel(struct mu_up_exchange *x);
+/* Stops reading the answer, for lack of room, until it is resumed. */
+void mu_up_pause(struct mu_up_exchange *x);
+void mu_up_resume(struct mu_up_exchange *x);
 /*
  * Opens a connection to learn whether the address still accepts any, and keeps
  * it for later exchanges; on_unreachable is called if it can't be established,
