--- a/src/memacct.c
+++ b/src/memacct.c
@@ -86,6 +86,12 @@
 	memset(a, 0, sizeof(*a));
 }
 
+void
+mu_acct_check_idle(const struct mu_acct *a)
+{
+	CHECK_COUNT(a->used[MU_ACCT_BODY] == 0 && a->used[MU_ACCT_ANSWER] == 0);
+}
+
 void
 mu_acct_holder_init(struct mu_acct_holder *h, enum mu_acct_use use,
     uint64_t client_key, void *owner)
--- a/src/memacct.h
+++ b/src/memacct.h
@@ -77,6 +77,10 @@
 /* All bytes must have been given back; builds with a sanitizer check it. */
 void mu_acct_fini(struct mu_acct *a);
 
+/* No request is in progress: builds with a sanitizer check that no byte of a
+ * body or an answer is counted. */
+void mu_acct_check_idle(const struct mu_acct *a);
+
 /* client_key identifies the client's address. */
 void mu_acct_holder_init(struct mu_acct_holder *h, enum mu_acct_use use,
     uint64_t client_key, void *owner);
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -6,6 +6,10 @@
  * kernel (TCP_USER_TIMEOUT) and dialled again.  Requests that wait for a reply
  * fail as soon as their link is closed, so that their senders can try another
  * path at once.
+ *
+ * Anyone can connect to the port.  Until a link has given a name, in its first
+ * heartbeat, its frames must be small, it has a few seconds for it, and there
+ * are not many such links; daemons send their large frames after a heartbeat.
  */
 #include <errno.h>
 #include <jansson.h>
@@ -26,6 +30,8 @@
 
 #define SEND_QUEUE_MAX_BYTES ((size_t)8 << 20) /* per link */
 #define READ_BYTES 16384
+/* A larger buffer of received bytes is freed once it is empty. */
+#define INPUT_KEPT_BYTES ((size_t)64 << 10)
 #define DIAL_INTERVAL_US (1 * MU_US_PER_S) /* between attempts to a peer */
 #define CONNECT_TIMEOUT_US (500 * MU_US_PER_MS)
 #define KEEPALIVE_INTERVAL_S 10 /* between probes on an idle link */
@@ -33,6 +39,12 @@
  * domain cannot run, and for callers when the whole domain is down. */
 #define REMOTE_DOMAIN_LINKS 3
 
+/* Of a frame on an accepted link without a name. */
+#define UNNAMED_FRAME_MAX_BYTES ((size_t)64 << 10)
+#define NAME_TIMEOUT_US (5 * MU_US_PER_S)
+/* More than a fleet of a thousand daemons dials between two heartbeats. */
+#define UNNAMED_LINKS_MAX 256
+
 struct mu_mesh_link {
 	struct cds_list_head node;
 	struct mu_mesh *mesh;
@@ -40,10 +52,12 @@
 	unsigned references;
 	bool closed;
 	bool connecting;
+	bool named; /* a heartbeat was received, or sent if dialled */
 	mu_us opened_at;
 	struct mu_watch watch;
 	struct mu_buf in;
 	struct mu_buf out;
+	struct mu_acct_holder hold; /* of in */
 	struct cds_list_head requests; /* waiting for a reply */
 };
 
@@ -65,8 +79,10 @@
 	struct mu_watch listener;
 	struct mu_timer heartbeat_timer;
 	struct cds_list_head peers;
-	struct cds_list_head links;
+	struct cds_list_head links; /* the newest first */
+	unsigned nunnamed; /* accepted links without a name */
 	uint64_t next_id;
+	struct mu_acct *acct; /* NULL: nothing is counted */
 };
 
 static void on_link_event(void *arg, uint32_t events);
@@ -124,6 +140,13 @@
 		m->hooks.on_changed(m->hooks.arg, p);
 }
 
+/* An accepted link whose peer has not told its name. */
+static bool
+is_unnamed(const struct mu_mesh_link *l)
+{
+	return l->peer == NULL && !l->named && !l->closed;
+}
+
 static void
 link_close(struct mu_mesh_link *l)
 {
@@ -132,7 +155,11 @@
 
 	if (l->closed)
 		return;
+	if (is_unnamed(l))
+		l->mesh->nunnamed--;
 	l->closed = true;
+	if (l->mesh->acct != NULL)
+		mu_acct_give(l->mesh->acct, &l->hold, SIZE_MAX);
 	mu_watch_del(l->mesh->loop, &l->watch);
 	(void)close(l->watch.fd);
 	cds_list_del(&l->node);
@@ -181,6 +208,11 @@
 	    mu_buf_len(&l->out) > SEND_QUEUE_MAX_BYTES ||
 	    mu_frame_encode(f, &p, &n) != 0)
 		return false;
+	/* The peer would close the link. */
+	if (l->peer != NULL && !l->named && n > UNNAMED_FRAME_MAX_BYTES) {
+		free(p);
+		return false;
+	}
 	(void)mu_buf_add(&l->out, p, n);
 	free(p);
 	/* Sent from the loop, because callers must not see the link closed
@@ -239,6 +271,10 @@
 {
 	switch (f->body_case) {
 	case MU__FRAME__BODY_BEAT:
+		if (is_unnamed(l) && *f->beat->host != '\0') {
+			l->named = true;
+			l->mesh->nunnamed--;
+		}
 		if (l->mesh->hooks.on_any_heartbeat != NULL)
 			l->mesh->hooks.on_any_heartbeat(
 			    l->mesh->hooks.arg, l, f->beat);
@@ -292,6 +328,38 @@
 	}
 }
 
+/* The next frame is small as a rule. */
+static void
+shrink_input(struct mu_mesh_link *l)
+{
+	if (mu_buf_len(&l->in) == 0 && l->in.size > INPUT_KEPT_BYTES)
+		mu_buf_clear(&l->in);
+}
+
+static bool
+frame_too_large(const struct mu_mesh_link *l)
+{
+	return is_unnamed(l) && mu_buf_len(&l->in) >= MU_FRAME_PREFIX_BYTES &&
+	       mu_frame_size((const uint8_t *)mu_buf_data(&l->in)) >
+		   UNNAMED_FRAME_MAX_BYTES;
+}
+
+/* Frames of peers are never refused for lack of room: a crowd of callers would
+ * cut the daemons off from each other. */
+static void
+count_received(struct mu_mesh_link *l)
+{
+	struct mu_acct *a = l->mesh->acct;
+
+	if (a == NULL || l->closed)
+		return;
+	if (l->in.size > l->hold.bytes)
+		mu_acct_force(a, &l->hold, l->in.size - l->hold.bytes,
+		    mu_loop_now(l->mesh->loop));
+	else
+		mu_acct_give(a, &l->hold, l->hold.bytes - l->in.size);
+}
+
 static void
 read_link(struct mu_mesh_link *l)
 {
@@ -308,11 +376,14 @@
 			return;
 		}
 		l->in.len += (size_t)n;
-		if (!decode_frames(l)) {
+		count_received(l);
+		if (!decode_frames(l) || frame_too_large(l)) {
 			mu_log(MU_LOG_WARN, "mesh", "malformed_frame", NULL);
 			link_close(l);
 			return;
 		}
+		shrink_input(l);
+		count_received(l);
 	} while (n == READ_BYTES && !l->closed);
 }
 
@@ -363,12 +434,34 @@
 	l->watch.events = events;
 	l->watch.fn = on_link_event;
 	l->watch.arg = l;
+	mu_acct_holder_init(&l->hold, MU_ACCT_PEER, 0, l);
 	CDS_INIT_LIST_HEAD(&l->requests);
 	cds_list_add(&l->node, &m->links);
 	(void)mu_watch_add(m->loop, &l->watch);
 	return l;
 }
 
+/* Closes the links that have been without a name for too long, or the oldest of
+ * them. */
+static void
+close_unnamed(struct mu_mesh *m, bool oldest)
+{
+	mu_us now = mu_loop_now(m->loop);
+	struct mu_mesh_link *l, *prev;
+
+	for (l = cds_list_entry(m->links.prev, struct mu_mesh_link, node);
+	     &l->node != &m->links && m->nunnamed > 0; l = prev) {
+		prev = cds_list_entry(l->node.prev, struct mu_mesh_link, node);
+		if (!is_unnamed(l))
+			continue;
+		if (!oldest && now - l->opened_at < NAME_TIMEOUT_US)
+			return; /* the others are newer */
+		link_close(l);
+		if (oldest)
+			return;
+	}
+}
+
 static void
 dial(struct mu_mesh *m, struct mu_peer *p)
 {
@@ -425,8 +518,16 @@
 	int fd;
 
 	while ((fd = accept4(m->listener.fd, NULL, NULL,
-		    SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0)
-		(void)link_new(m, fd, EPOLLIN);
+		    SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+		if (m->nunnamed >= UNNAMED_LINKS_MAX)
+			close_unnamed(m, true);
+		if (link_new(m, fd, EPOLLIN) != NULL)
+			m->nunnamed++;
+	}
+	/* Out of descriptors or memory: the connection stays ready, so the loop
+	 * would spin.  The next heartbeat accepts again. */
+	if (errno != EAGAIN && errno != EINTR && errno != ECONNABORTED)
+		mu_watch_set(m->loop, &m->listener, 0);
 }
 
 void
@@ -448,8 +549,8 @@
 	nuses = b->n_uses;
 	cds_list_for_each_entry (p, &m->peers, node) {
 		b->n_uses = strcmp(p->domain, m->domain) == 0 ? nuses : 0;
-		if (p->connected)
-			(void)queue_frame(p->link, &f);
+		if (p->connected && queue_frame(p->link, &f))
+			p->link->named = true;
 	}
 	b->n_uses = nuses;
 	mu__beat__free_unpacked(b, NULL);
@@ -464,6 +565,8 @@
 	struct mu_peer *p;
 
 	mu_mesh_send_heartbeat(m);
+	close_unnamed(m, false);
+	mu_watch_set(m->loop, &m->listener, EPOLLIN);
 	cds_list_for_each_entry (p, &m->peers, node) {
 		if (p->link != NULL && p->link->connecting &&
 		    now - p->link->opened_at > CONNECT_TIMEOUT_US)
@@ -516,6 +619,12 @@
 	    "cannot listen on %s", conf->listen);
 }
 
+void
+mu_mesh_set_account(struct mu_mesh *m, struct mu_acct *a)
+{
+	m->acct = a;
+}
+
 void
 mu_mesh_free(struct mu_mesh *m)
 {
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -12,6 +12,7 @@
 #include <urcu/list.h>
 
 #include "loop.h"
+#include "memacct.h"
 #include "peer.pb-c.h"
 
 struct mu_mesh;
@@ -81,6 +82,8 @@
 int mu_mesh_new(struct mu_mesh **m, struct mu_loop *l,
     const struct mu_mesh_conf *conf, const struct mu_mesh_hooks *hooks,
     struct mu_error *e);
+/* Counts frames that were received in a.  Called before the loop runs. */
+void mu_mesh_set_account(struct mu_mesh *m, struct mu_acct *a);
 void mu_mesh_free(struct mu_mesh *m);
 
 /* Adds or updates a peer. */
--- a/src/serve.c
+++ b/src/serve.c
@@ -593,6 +593,7 @@
 	rc = mu_mesh_new(&s->mesh, l, &mc, &hooks, e);
 	if (rc != 0)
 		return rc;
+	mu_mesh_set_account(s->mesh, s->conf.acct);
 	mu_store_set_relay(s->store, &relay);
 	s->reaper = mu_reaper_new(l, s->store);
 	s->history =
--- a/src/serve.h
+++ b/src/serve.h
@@ -62,6 +62,7 @@
 	/* Older, a configuration does not tell that a key is still valid; 0: it
 	 * always does. */
 	uint32_t key_trust_ms;
+	struct mu_acct *acct; /* NULL: nothing is counted */
 	/* Accepted beyond rate limits (limiter.h). */
 	uint32_t limit_window_ms;
 	double limit_overage;
