--- a/test/fault/fault_crowd.c
+++ b/test/fault/fault_crowd.c
@@ -90,6 +90,8 @@
 	struct proc *daemon;
 	char addr[MU_ADDR_LEN];
 	char ready[MU_ADDR_LEN];
+	char directory[MU_ADDR_LEN];
+	char metrics[MU_ADDR_LEN];
 	struct client *client;
 	unsigned nclients;
 	unsigned next_id;
@@ -212,21 +214,20 @@
 static bool
 start_daemon(void)
 {
-	char directory[MU_ADDR_LEN], mesh[MU_ADDR_LEN], metrics[MU_ADDR_LEN],
-	    text[1024], path[256];
+	char mesh[MU_ADDR_LEN], text[1024], path[256];
 	const char *args[] = {"--settings", path, NULL};
 	int n;
 
 	kit_unused_addr(t.addr);
 	kit_unused_addr(t.ready);
-	kit_unused_addr(directory);
+	kit_unused_addr(t.directory);
 	kit_unused_addr(mesh);
-	kit_unused_addr(metrics);
+	kit_unused_addr(t.metrics);
 	n = snprintf(text, sizeof(text),
 	    "host: d0\ndomain: z\nregion: r\ncaller_addr: %s\n"
 	    "ready_addr: %s\ndirectory_addr: %s\nmesh_addr: %s\n"
 	    "metrics_addr: %s\nstore_addr: %s\n",
-	    t.addr, t.ready, directory, mesh, metrics, t.store.addr);
+	    t.addr, t.ready, t.directory, mesh, t.metrics, t.store.addr);
 	(void)snprintf(text + n, sizeof(text) - (size_t)n,
 	    "body_memory_mb: %d\nmax_connections: %d\n", BODY_MEMORY_MB,
 	    MAX_CONNECTIONS);
@@ -676,6 +677,28 @@
 	mu_buf_clear(&b);
 }
 
+/* Guards against ports without limits beside the callers' one.  Failed on
+ * commit a5d5e68, which waits for the body. */
+static void
+test_other_ports_refuse_a_large_body(void **state)
+{
+	static const char request[] =
+	    "POST /readyz HTTP/1.1\r\nHost: h\r\nContent-Length: 4097\r\n\r\n";
+	const char *const addrs[] = {t.ready, t.directory, t.metrics};
+	struct kit_caller *c;
+	unsigned i;
+
+	(void)state;
+	for (i = 0; i < 3; i++) {
+		c = kit_caller_open(t.loop, addrs[i], request);
+		assert_true(kit_until(t.loop, 5000, c->closed));
+		assert_non_null(
+		    strstr(kit_caller_received(c), "HTTP/1.1 413 "));
+		kit_caller_free(c);
+	}
+	assert_true(is_ready());
+}
+
 int
 main(void)
 {
@@ -694,6 +717,7 @@
 	    BOTH(unread_streams),
 	    BOTH(pipelined),
 	    T(test_single_requests_of_the_largest_size),
+	    T(test_other_ports_refuse_a_large_body),
 #undef BOTH
 #undef T
 	};
