--- a/test/fault/proc.h
+++ b/test/fault/proc.h
@@ -179,6 +179,7 @@
 	unsigned max_batch;
 	unsigned cache_tokens;
 	bool fencing; /* endpoints honour fencing */
+	const char *settings; /* further lines of the daemons' settings */
 };
 
 enum unit_state {
--- a/test/fault/proc_cluster.c
+++ b/test/fault/proc_cluster.c
@@ -151,7 +151,7 @@
 	    "- {caller: other, sha256: %s}\n"
 	    "operators:\n- {caller: operator, sha256: %s}\n"
 	    "- {caller: operator2, sha256: %s}\n"
-	    "log_level: info\n",
+	    "log_level: info\n%s",
 	    u->name, u->domain, u->addr, u->oper, u->peer,
 	    u->platform_relay == NULL ? c->platform.addr
 				      : u->platform_relay_addr,
@@ -160,7 +160,8 @@
 	    key_hash(CLUSTER_CALLER_KEY, caller),
 	    key_hash(CLUSTER_OTHER_KEY, other),
 	    key_hash(CLUSTER_OPERATOR_KEY, oper),
-	    key_hash(CLUSTER_OPERATOR2_KEY, oper2));
+	    key_hash(CLUSTER_OPERATOR2_KEY, oper2),
+	    f->settings != NULL ? f->settings : "");
 	snprintf(file, sizeof(file), "%s.yaml", u->name);
 	proc_write(path, 256, file, text);
 }
