--- a/src/metric.h
+++ b/src/metric.h
@@ -47,6 +47,20 @@
 	X(CONNECTIONS, "endpoint_connections_total", \
 	    "connections opened to endpoints") \
 	X(OVERDUE, "answers_overdue_total", "answers overdue by far") \
+	X(BODIES_TOO_LARGE, "bodies_too_large_total", \
+	    "bodies refused over the limit of one") \
+	X(BODIES_NO_ROOM, "bodies_no_room_total", \
+	    "bodies refused over the limit of all") \
+	X(BODIES_STALLED, "bodies_stalled_total", \
+	    "stalled bodies dropped to make room") \
+	X(BODIES_TIMEOUT, "bodies_timeout_total", \
+	    "bodies that did not arrive in time") \
+	X(ANSWERS_NO_ROOM, "answers_no_room_total", \
+	    "answers not sent over the limit of all") \
+	X(ANSWERS_STALLED, "answers_stalled_total", \
+	    "unread answers dropped to make room") \
+	X(CONNECTIONS_CLOSED, "connections_closed_total", \
+	    "connections closed to make room") \
 	X(KEYS_REFUSED, "keys_refused_total", "requests without a valid key") \
 	X(LIMITED, "limited_total", "requests over their customer's limit") \
 	X(LIMIT_ASKS, "limit_asks_total", "rate limit requests to daemons") \
