--- a/src/conf.c
+++ b/src/conf.c
@@ -15,6 +15,7 @@
 #include <string.h>
 
 #include "conf.h"
+#include "webmem.h"
 #include "yamlerr.h"
 
 #define CONF_MAX_BYTES ((size_t)256 * 1024)
@@ -36,6 +37,8 @@
 #define DEFAULT_ISOLATION_MS 10000
 #define DEFAULT_ADDRESS_TTL_MS 5000
 #define DEFAULT_MAX_BODY_BYTES 1048576
+#define DEFAULT_BODY_MEMORY_MB 0
+#define DEFAULT_BODY_TIMEOUT_MS 30000
 #define DEFAULT_MAX_CONNECTIONS 1024
 #define DEFAULT_SEQ_WAIT_MS 2000
 #define DEFAULT_OUTAGE_BUFFER 256
@@ -54,6 +57,8 @@
 	X(isolation_ms, DEFAULT_ISOLATION_MS, 100, 3600000) \
 	X(address_ttl_ms, DEFAULT_ADDRESS_TTL_MS, 0, 3600000) \
 	X(max_body_bytes, DEFAULT_MAX_BODY_BYTES, 1024, 67108864) \
+	X(body_memory_mb, DEFAULT_BODY_MEMORY_MB, 0, 1048576) \
+	X(body_timeout_ms, DEFAULT_BODY_TIMEOUT_MS, 100, 3600000) \
 	X(max_connections, DEFAULT_MAX_CONNECTIONS, 8, 65536) \
 	X(seq_wait_ms, DEFAULT_SEQ_WAIT_MS, 0, 600000) \
 	X(outage_buffer, DEFAULT_OUTAGE_BUFFER, 0, 65536)
@@ -268,6 +273,20 @@
 	return 0;
 }
 
+/* A body of the largest size must fit, see webmem.h. */
+static int
+check_body_memory(const struct mu_conf *c, struct mu_error *e)
+{
+	uint64_t least = (uint64_t)c->max_body_bytes * MU_WEBMEM_MIN_BODIES;
+
+	if (c->body_memory_mb == 0 ||
+	    (uint64_t)c->body_memory_mb << 20 >= least)
+		return 0;
+	return mu_yaml_fail(e, "body_memory_mb",
+	    "%u; expected at least %d times max_body_bytes, or 0",
+	    c->body_memory_mb, MU_WEBMEM_MIN_BODIES);
+}
+
 static int
 check_log_level(const char *level, struct mu_error *e)
 {
@@ -290,6 +309,7 @@
 	    (rc = mu_yaml_name("domain", c->domain, e)) != 0 ||
 	    (rc = mu_yaml_name("region", c->region, e)) != 0 ||
 	    (rc = check_addrs(c, e)) != 0 || (rc = check_times(c, e)) != 0 ||
+	    (rc = check_body_memory(c, e)) != 0 ||
 	    (rc = check_log_level(c->log_level, e)) != 0)
 		return rc;
 	if (!mu_hex_valid(c->receipt_key, RECEIPT_KEY_HEX))
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -6,12 +6,14 @@
  * requests in progress finish and then exits.
  */
 #include <argp.h>
+#include <malloc.h>
 #include <signal.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/resource.h>
+#include <sys/sysinfo.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -25,11 +27,15 @@
 #include "oper.h"
 #include "route.h"
 #include "wait.h"
+#include "webmem.h"
 
 #define SLOT_POLL_INTERVAL_MS 500
 #define CONNECT_TIMEOUT_MS 1000
 #define STOP_POLL_INTERVAL_MS 50
 #define STOP_TIMEOUT_MS 120000 /* then calls in progress are abandoned */
+/* Larger blocks are mapped, so that freed bodies go back to the system.  By
+ * default glibc raises the threshold with each such block that is freed. */
+#define MAPPED_BLOCK_BYTES (128 * 1024)
 #define EXIT_FAILED 1
 #define EXIT_USAGE 2
 
@@ -312,6 +318,43 @@
 	(void)setrlimit(RLIMIT_NOFILE, &r);
 }
 
+/* Lowers max_connections to what leaves descriptors for everything else. */
+static void
+limit_connections(struct mu_conf *c)
+{
+	struct rlimit r;
+	uint32_t most;
+
+	if (getrlimit(RLIMIT_NOFILE, &r) != 0)
+		return;
+	most = mu_acct_max_connections(r.rlim_cur);
+	if (c->max_connections <= most)
+		return;
+	mu_log(MU_LOG_WARN, "daemon", "connections_limited", "{s:i,s:i}",
+	    "max_connections", (int)c->max_connections, "allowed", (int)most);
+	c->max_connections = most;
+}
+
+static int
+open_webmem(struct mu_daemon *d)
+{
+	struct mu_webmem_conf wc = {.clock = &d->clock,
+	    .body_timeout_ms = d->conf->body_timeout_ms,
+	    .limit = (size_t)d->conf->body_memory_mb << 20};
+	size_t least = (size_t)d->conf->max_body_bytes * MU_WEBMEM_MIN_BODIES;
+	struct mu_acct_limits limits;
+	struct sysinfo host = {0};
+
+	if (wc.limit == 0) {
+		(void)sysinfo(&host);
+		mu_acct_default_limits(
+		    (uint64_t)host.totalram * host.mem_unit, 0, &limits);
+		wc.limit =
+		    limits.body_memory > least ? limits.body_memory : least;
+	}
+	return mu_webmem_new(&d->webmem, &wc);
+}
+
 static int
 run_daemon(struct mu_daemon *d)
 {
@@ -327,6 +370,7 @@
 	signal(SIGPIPE, SIG_IGN);
 	if ((rc = open_state(d)) != 0 || (rc = open_controllers(d)) != 0 ||
 	    (rc = open_peers(d, &e)) != 0 || (rc = start_controllers(d)) != 0 ||
+	    (rc = open_webmem(d)) != 0 ||
 	    (rc = mu_oper_open(&operator_web, d, &e)) != 0 ||
 	    (rc = mu_front_open(&caller_web, d, &e)) != 0) {
 		mu_log_error(MU_LOG_ERROR, "daemon", "start_failed", &e);
@@ -342,6 +386,7 @@
 out:
 	mu_web_close(caller_web);
 	mu_web_close(operator_web);
+	mu_webmem_free(d->webmem);
 	mu_log(MU_LOG_INFO, "daemon", "stopped", NULL);
 	return rc;
 }
@@ -370,6 +415,8 @@
 	raise_fd_limit();
 	if (sodium_init() < 0 || mu_log_open(d.conf->log_level) != 0)
 		return EXIT_FAILED;
+	(void)mallopt(M_MMAP_THRESHOLD, MAPPED_BLOCK_BYTES);
+	limit_connections(d.conf);
 	mu_clock_real(&d.clock);
 	mu_board_init(&d.board);
 	mu_refusals_init(&d.refusals);
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -21,6 +21,7 @@
 struct mu_config;
 struct mu_member;
 struct mu_clean;
+struct mu_webmem;
 
 struct mu_daemon {
 	struct mu_conf *conf;
@@ -35,6 +36,7 @@
 	struct mu_config *config;
 	struct mu_member *member;
 	struct mu_clean *clean;
+	struct mu_webmem *webmem; /* held for callers and operators */
 	struct mu_receipt_key receipts;
 	struct mu_refusals refusals;
 	pthread_mutex_t quarantine_lock;
--- a/src/front.c
+++ b/src/front.c
@@ -71,7 +71,7 @@
 
 	if (s == NULL)
 		return reject_as(r, MU_E_NOMEM, "no memory");
-	rc = mu_web_reply(r, mu_stream_wait_end(s, 0));
+	rc = mu_web_reply_stream(r, s);
 	mu_stream_unref(s);
 	return rc;
 }
@@ -328,6 +328,7 @@
 	conf.listen = d->conf->caller_addr;
 	conf.max_body = d->conf->max_body_bytes;
 	conf.max_connections = d->conf->max_connections;
+	conf.mem = d->webmem;
 	conf.requests_in_progress = &d->board.requests;
 	conf.arg = d;
 	conf.handle = handle_request;
--- a/src/oper.c
+++ b/src/oper.c
@@ -325,6 +325,22 @@
 	return rc;
 }
 
+/* Counters and histograms, then the memory held for clients. */
+static enum MHD_Result
+get_metrics(struct mu_daemon *d, struct mu_web_req *r)
+{
+	char *counters = mu_metrics_text();
+	char *gauges = mu_webmem_metrics(d->webmem);
+	char *text = NULL;
+
+	if (counters != NULL && gauges != NULL &&
+	    asprintf(&text, "%s%s", counters, gauges) < 0)
+		text = NULL;
+	free(counters);
+	free(gauges);
+	return mu_web_text(r, 200, text, "text/plain; version=0.0.4");
+}
+
 static enum MHD_Result
 handle_get(struct mu_daemon *d, struct mu_web_req *r)
 {
@@ -339,8 +355,7 @@
 	if (strncmp(r->path, "/v1/explain/", 12) == 0)
 		return get_explain(d, r, r->path + 12);
 	if (strcmp(r->path, "/metrics") == 0)
-		return mu_web_text(
-		    r, 200, mu_metrics_text(), "text/plain; version=0.0.4");
+		return get_metrics(d, r);
 	return reject_as(r, MU_E_NOT_FOUND, "no such resource");
 }
 
@@ -381,6 +396,7 @@
 	conf.listen = d->conf->operator_addr;
 	conf.max_body = MAX_BODY_BYTES;
 	conf.max_connections = MAX_CONNECTIONS;
+	conf.mem = d->webmem;
 	conf.arg = d;
 	conf.handle = handle_request;
 	return mu_web_open(w, &conf, e);
--- a/src/sseout.c
+++ b/src/sseout.c
@@ -204,5 +204,6 @@
 	MHD_add_response_header(
 	    response, MHD_HTTP_HEADER_CONTENT_TYPE, "text/event-stream");
 	MHD_add_response_header(response, "Cardamom-Program", program);
+	r->streams = true;
 	return mu_web_queue(r, MHD_HTTP_OK, response);
 }
--- a/src/web.h
+++ b/src/web.h
@@ -13,6 +13,7 @@
 #include "conf.h"
 #include "musher.h"
 #include "stream.h"
+#include "webmem.h"
 
 struct mu_web;
 
@@ -24,12 +25,16 @@
 	size_t len;
 	struct mu_arena *arena;
 	struct mu_web *web;
+	struct mu_webconn *conn; /* NULL when out of memory */
+	bool ends_connection; /* its response is the last one */
+	bool streams; /* the response is sent while the request is handled */
 };
 
 struct mu_web_conf {
 	const char *listen; /* IP:PORT */
 	uint32_t max_body;
 	uint32_t max_connections;
+	struct mu_webmem *mem; /* shared by the servers of a daemon */
 	uint32_t *requests_in_progress; /* counter; atomic, may be NULL */
 	void *arg;
 	/* Must queue exactly one response. */
@@ -56,6 +61,9 @@
 mu_web_text(struct mu_web_req *r, int status, char *text, const char *type);
 enum MHD_Result mu_web_error(struct mu_web_req *r, const struct mu_error *e);
 enum MHD_Result mu_web_reply(struct mu_web_req *r, const struct mu_reply *p);
+/* Sends the reply of an ended stream without copying a large one.  Closes the
+ * connection if there is no room for it. */
+enum MHD_Result mu_web_reply_stream(struct mu_web_req *r, struct mu_stream *s);
 
 /* Name that the request's bearer key belongs to, or NULL. */
 const char *mu_web_authenticate(
--- a/test/fault/fault_crowd_sched.c
+++ b/test/fault/fault_crowd_sched.c
@@ -669,8 +669,9 @@
 	return proc_teardown(state);
 }
 
+/* An argument selects tests by name, with * and ?. */
 int
-main(void)
+main(int argc, char **argv)
 {
 	static bool reused = true;
 /* A test whose state is not NULL sends a complete request on each connection
@@ -707,5 +708,7 @@
 	    T(test_links_without_name),
 	};
 
+	if (argc > 1)
+		cmocka_set_test_filter(argv[1]);
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/test/test_conf.c
+++ b/test/test_conf.c
@@ -53,6 +53,38 @@
 	mu_conf_free(c);
 }
 
+/* Bodies of the largest size must fit in the memory for all of them. */
+static void
+test_body_memory(void **state)
+{
+	struct mu_error e;
+	struct mu_conf *c;
+
+	(void)state;
+	assert_int_equal(parse(REQUIRED_SETTINGS, &c, &e), 0);
+	assert_int_equal(c->body_memory_mb, 0);
+	assert_int_equal(c->body_timeout_ms, 30000);
+	mu_conf_free(c);
+	assert_int_equal(parse(REQUIRED_SETTINGS "max_body_bytes: 2097152\n"
+						 "body_memory_mb: 16\n"
+						 "body_timeout_ms: 100\n",
+			     &c, &e),
+	    0);
+	assert_int_equal(c->body_memory_mb, 16);
+	assert_int_equal(c->body_timeout_ms, 100);
+	mu_conf_free(c);
+	assert_int_equal(
+	    parse(REQUIRED_SETTINGS "max_body_bytes: 67108864\n", &c, &e), 0);
+	mu_conf_free(c);
+	assert_rejected(REQUIRED_SETTINGS
+	    "max_body_bytes: 2097153\nbody_memory_mb: 16\n",
+	    "body_memory_mb", "8 times max_body_bytes");
+	assert_rejected(REQUIRED_SETTINGS "body_memory_mb: 1048577\n",
+	    "body_memory_mb", "0 to 1048576");
+	assert_rejected(REQUIRED_SETTINGS "body_timeout_ms: 99\n",
+	    "body_timeout_ms", "100 to 3600000");
+}
+
 static void
 test_keys(void **state)
 {
@@ -128,6 +160,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_defaults_hold_the_checks),
+	    cmocka_unit_test(test_body_memory),
 	    cmocka_unit_test(test_keys),
 	    cmocka_unit_test(test_refusals),
 	    cmocka_unit_test(test_missing_file),
