--- a/src/mesh.c
+++ b/src/mesh.c
@@ -6,6 +6,14 @@
  * kernel (TCP_USER_TIMEOUT) and dialled again.  Requests that wait for a reply
  * fail as soon as their link is closed, so that their senders can try another
  * path at once.
+ *
+ * Anyone who reaches the mesh port can connect.  What accepted links hold is
+ * therefore limited: a link must give its name with a heartbeat in time, and
+ * before that may send small frames only; the number of links from daemons that
+ * aren't listed is limited, and so are all incomplete frames together, in
+ * bytes. Beyond a limit, links of daemons that aren't listed are closed first.
+ * They are not limited to small frames: a daemon that starts while the store is
+ * down lists no other and gets a large seed.
  */
 #include <errno.h>
 #include <jansson.h>
@@ -22,6 +30,7 @@
 #include "hmap.h"
 #include "log.h"
 #include "mesh.h"
+#include "metric.h"
 #include "net.h"
 
 #define SEND_QUEUE_MAX_BYTES ((size_t)8 << 20) /* per link */
@@ -32,6 +41,15 @@
 /* Links to each other failure domain, for relaying store operations that this
  * domain cannot run, and for callers when the whole domain is down. */
 #define REMOTE_DOMAIN_LINKS 3
+/* Daemons send heartbeats several times a second. */
+#define NAME_TIMEOUT_US (5 * MU_US_PER_S)
+/* Accepted links of daemons that aren't listed; half of the descriptors that
+ * max_connections leaves. */
+#define UNLISTED_LINKS_MAX 256
+#define UNNAMED_FRAME_MAX_BYTES ((size_t)64 << 10)
+/* Buffers of incomplete frames; the largest frame takes 32 MiB of it. */
+#define INPUT_MAX_BYTES ((size_t)48 << 20)
+#define KEPT_BUFFER_BYTES ((size_t)64 << 10) /* of a link without input */
 
 struct mu_mesh_link {
 	struct cds_list_head node;
@@ -40,6 +58,8 @@
 	unsigned references;
 	bool closed;
 	bool connecting;
+	bool named; /* accepted links: a heartbeat has arrived */
+	bool listed; /* and it was a listed daemon's */
 	mu_us opened_at;
 	struct mu_watch watch;
 	struct mu_buf in;
@@ -65,11 +85,15 @@
 	struct mu_watch listener;
 	struct mu_timer heartbeat_timer;
 	struct cds_list_head peers;
-	struct cds_list_head links;
+	struct cds_list_head links; /* newest first */
+	unsigned unlisted; /* accepted links of daemons that aren't listed */
+	size_t input_bytes; /* allocated for input of accepted links */
+	bool accept_paused;
 	uint64_t next_id;
 };
 
 static void on_link_event(void *arg, uint32_t events);
+static bool queue_frame(struct mu_mesh_link *l, const Mu__Frame *f);
 
 struct mu_mesh_link *
 mu_mesh_link_ref(struct mu_mesh_link *l)
@@ -133,6 +157,10 @@
 	if (l->closed)
 		return;
 	l->closed = true;
+	if (p == NULL) {
+		l->mesh->input_bytes -= l->in.size;
+		l->mesh->unlisted -= l->listed ? 0 : 1;
+	}
 	mu_watch_del(l->mesh->loop, &l->watch);
 	(void)close(l->watch.fd);
 	cds_list_del(&l->node);
@@ -171,6 +199,49 @@
 	mu_watch_set(l->mesh->loop, &l->watch, EPOLLIN);
 }
 
+/* Returns NULL when out of memory. */
+static Mu__Beat *
+new_heartbeat(struct mu_mesh *m)
+{
+	Mu__Beat *b = malloc(sizeof(*b));
+
+	if (b == NULL)
+		return NULL;
+	mu__beat__init(b);
+	b->host = strdup(m->host);
+	b->incarnation = m->conf.incarnation;
+	m->hooks.fill_heartbeat(m->hooks.arg, b);
+	return b;
+}
+
+/* Uses are of interest within a failure domain only. */
+static bool
+queue_heartbeat(struct mu_mesh *m, struct mu_peer *p, Mu__Beat *b)
+{
+	Mu__Frame f = MU__FRAME__INIT;
+	size_t nuses = b->n_uses;
+	bool queued;
+
+	f.body_case = MU__FRAME__BODY_BEAT;
+	f.beat = b;
+	b->n_uses = strcmp(p->domain, m->domain) == 0 ? nuses : 0;
+	queued = queue_frame(p->link, &f);
+	b->n_uses = nuses;
+	return queued;
+}
+
+/* A large frame is accepted only after the name. */
+static void
+queue_name(struct mu_mesh_link *l)
+{
+	Mu__Beat *b = new_heartbeat(l->mesh);
+
+	if (b == NULL)
+		return;
+	(void)queue_heartbeat(l->mesh, l->peer, b);
+	mu__beat__free_unpacked(b, NULL);
+}
+
 static bool
 queue_frame(struct mu_mesh_link *l, const Mu__Frame *f)
 {
@@ -178,8 +249,12 @@
 	size_t n;
 
 	if (l == NULL || l->closed ||
-	    mu_buf_len(&l->out) > SEND_QUEUE_MAX_BYTES ||
-	    mu_frame_encode(f, &p, &n) != 0)
+	    mu_buf_len(&l->out) > SEND_QUEUE_MAX_BYTES)
+		return false;
+	if (l->connecting && mu_buf_len(&l->out) == 0 &&
+	    f->body_case != MU__FRAME__BODY_BEAT)
+		queue_name(l);
+	if (mu_frame_encode(f, &p, &n) != 0)
 		return false;
 	(void)mu_buf_add(&l->out, p, n);
 	free(p);
@@ -234,11 +309,24 @@
 		mu__beat__free_unpacked(before, NULL);
 }
 
+static void
+note_name(struct mu_mesh_link *l, const char *host)
+{
+	if (l->peer != NULL || *host == '\0')
+		return;
+	l->named = true;
+	if (l->listed || mu_mesh_find_peer(l->mesh, host) == NULL)
+		return;
+	l->listed = true;
+	l->mesh->unlisted--;
+}
+
 static void
 handle_frame(struct mu_mesh_link *l, Mu__Frame *f)
 {
 	switch (f->body_case) {
 	case MU__FRAME__BODY_BEAT:
+		note_name(l, f->beat->host);
 		if (l->mesh->hooks.on_any_heartbeat != NULL)
 			l->mesh->hooks.on_any_heartbeat(
 			    l->mesh->hooks.arg, l, f->beat);
@@ -271,7 +359,20 @@
 	}
 }
 
-/* Handles the complete frames received; false when one is malformed. */
+/* Whether the incomplete frame at the start of the input may be received. */
+static bool
+may_receive(const struct mu_mesh_link *l)
+{
+	const uint8_t *p = (const uint8_t *)mu_buf_data(&l->in);
+
+	return l->peer != NULL || l->named ||
+	       mu_buf_len(&l->in) < MU_FRAME_PREFIX_BYTES ||
+	       mu_frame_size(p) <=
+		   MU_FRAME_PREFIX_BYTES + UNNAMED_FRAME_MAX_BYTES;
+}
+
+/* Handles the complete frames received; false when one is malformed or too
+ * large. */
 static bool
 decode_frames(struct mu_mesh_link *l)
 {
@@ -283,7 +384,7 @@
 			mu_buf_len(&l->in), &used, &f) != 0)
 			return false;
 		if (f == NULL)
-			return true;
+			return may_receive(l);
 		mu_buf_consume(&l->in, used);
 		handle_frame(l, f);
 		mu_frame_free(f);
@@ -292,6 +393,56 @@
 	}
 }
 
+/* The accepted link to close first: of a daemon that isn't listed, then the
+ * one with the largest buffer. */
+static struct mu_mesh_link *
+largest_input(struct mu_mesh *m)
+{
+	struct mu_mesh_link *l, *best = NULL;
+
+	cds_list_for_each_entry (l, &m->links, node) {
+		if (l->peer != NULL || l->in.size <= KEPT_BUFFER_BYTES)
+			continue;
+		if (best == NULL || (!l->listed && best->listed) ||
+		    (l->listed == best->listed && l->in.size > best->in.size))
+			best = l;
+	}
+	return best;
+}
+
+static void
+close_refused(struct mu_mesh_link *l, const char *reason)
+{
+	mu_count(MU_M_LINKS_REFUSED, 1);
+	mu_log(MU_LOG_WARN, "mesh", "link_refused", "{s:s,s:i}", "reason",
+	    reason, "unlisted", (int)l->mesh->unlisted);
+	link_close(l);
+}
+
+/* Space to read into.  Returns NULL when out of memory or l was closed. */
+static char *
+reserve_input(struct mu_mesh_link *l)
+{
+	struct mu_mesh *m = l->mesh;
+	size_t before = l->in.size;
+	struct mu_mesh_link *largest;
+	char *space;
+
+	if (mu_buf_len(&l->in) == 0 && before > KEPT_BUFFER_BYTES)
+		mu_buf_clear(&l->in);
+	space = mu_buf_reserve(&l->in, READ_BYTES);
+	if (l->peer != NULL)
+		return space;
+	m->input_bytes = m->input_bytes - before + l->in.size;
+	while (m->input_bytes > INPUT_MAX_BYTES && !l->closed) {
+		largest = largest_input(m);
+		if (largest == NULL)
+			break;
+		close_refused(largest, "input");
+	}
+	return l->closed ? NULL : space;
+}
+
 static void
 read_link(struct mu_mesh_link *l)
 {
@@ -299,7 +450,7 @@
 	ssize_t n;
 
 	do {
-		space = mu_buf_reserve(&l->in, READ_BYTES);
+		space = reserve_input(l);
 		n = space == NULL ? 0 : recv(l->watch.fd, space, READ_BYTES, 0);
 		if (n < 0 && (errno == EAGAIN || errno == EINTR))
 			return;
@@ -418,6 +569,34 @@
 	}
 }
 
+/* Closes the oldest link of a daemon that isn't listed, first of all one
+ * without a name.  Returns false if there is none. */
+static bool
+close_unlisted(struct mu_mesh *m, const char *reason)
+{
+	struct mu_mesh_link *l, *oldest = NULL;
+
+	cds_list_for_each_entry (l, &m->links, node) {
+		if (l->peer != NULL || l->listed)
+			continue;
+		if (oldest == NULL || !l->named || oldest->named)
+			oldest = l;
+	}
+	if (oldest == NULL)
+		return false;
+	close_refused(oldest, reason);
+	return true;
+}
+
+/* Stops accepting until the next heartbeat: without descriptors the listener
+ * stays readable, and the loop would spin. */
+static void
+pause_accept(struct mu_mesh *m)
+{
+	m->accept_paused = true;
+	mu_watch_set(m->loop, &m->listener, 0);
+}
+
 static void
 on_accept(void *arg, uint32_t events __attribute__((unused)))
 {
@@ -425,33 +604,42 @@
 	int fd;
 
 	while ((fd = accept4(m->listener.fd, NULL, NULL,
-		    SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0)
-		(void)link_new(m, fd, EPOLLIN);
+		    SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+		if (link_new(m, fd, EPOLLIN) == NULL)
+			continue;
+		m->unlisted++;
+		if (m->unlisted > UNLISTED_LINKS_MAX)
+			(void)close_unlisted(m, "links");
+	}
+	if ((errno == EMFILE || errno == ENFILE) &&
+	    !close_unlisted(m, "descriptors"))
+		pause_accept(m);
+}
+
+/* Closes accepted links that have not given their name in time. */
+static void
+close_nameless(struct mu_mesh *m)
+{
+	mu_us now = mu_loop_now(m->loop);
+	struct mu_mesh_link *l, *next;
+
+	cds_list_for_each_entry_safe (l, next, &m->links, node)
+		if (l->peer == NULL && !l->named &&
+		    now - l->opened_at >= NAME_TIMEOUT_US)
+			close_refused(l, "name");
 }
 
 void
 mu_mesh_send_heartbeat(struct mu_mesh *m)
 {
-	Mu__Frame f = MU__FRAME__INIT;
-	Mu__Beat *b = malloc(sizeof(*b));
+	Mu__Beat *b = new_heartbeat(m);
 	struct mu_peer *p;
-	size_t nuses;
 
 	if (b == NULL)
 		return;
-	mu__beat__init(b);
-	b->host = strdup(m->host);
-	b->incarnation = m->conf.incarnation;
-	m->hooks.fill_heartbeat(m->hooks.arg, b);
-	f.body_case = MU__FRAME__BODY_BEAT;
-	f.beat = b;
-	nuses = b->n_uses;
-	cds_list_for_each_entry (p, &m->peers, node) {
-		b->n_uses = strcmp(p->domain, m->domain) == 0 ? nuses : 0;
+	cds_list_for_each_entry (p, &m->peers, node)
 		if (p->connected)
-			(void)queue_frame(p->link, &f);
-	}
-	b->n_uses = nuses;
+			(void)queue_heartbeat(m, p, b);
 	mu__beat__free_unpacked(b, NULL);
 }
 
@@ -464,6 +652,11 @@
 	struct mu_peer *p;
 
 	mu_mesh_send_heartbeat(m);
+	close_nameless(m);
+	if (m->accept_paused) {
+		m->accept_paused = false;
+		mu_watch_set(m->loop, &m->listener, EPOLLIN);
+	}
 	cds_list_for_each_entry (p, &m->peers, node) {
 		if (p->link != NULL && p->link->connecting &&
 		    now - p->link->opened_at > CONNECT_TIMEOUT_US)
--- a/src/metric.h
+++ b/src/metric.h
@@ -61,6 +61,8 @@
 	    "unread answers dropped to make room") \
 	X(CONNECTIONS_CLOSED, "connections_closed_total", \
 	    "connections closed to make room") \
+	X(LINKS_REFUSED, "links_refused_total", \
+	    "links between daemons closed over a limit") \
 	X(KEYS_REFUSED, "keys_refused_total", "requests without a valid key") \
 	X(LIMITED, "limited_total", "requests over their customer's limit") \
 	X(LIMIT_ASKS, "limit_asks_total", "rate limit requests to daemons") \
