--- a/src/metric.c
+++ b/src/metric.c
@@ -1,5 +1,5 @@
 /*
- * metric.c -- counters and histograms of the daemon.
+ * metric.c -- counters, gauges and histograms of the daemon.
  *
  * Counters are striped over cache lines, so that threads on the request path
  * do not contend for one line; a read sums the stripes.  Bucket i of a
@@ -25,6 +25,7 @@
 
 static struct counter_stripe stripes[STRIPES];
 static struct histogram histograms[MU_H_COUNT];
+static uint64_t gauges[MU_G_COUNT];
 static unsigned next_stripe;
 static __thread unsigned thread_stripe;
 
@@ -36,6 +37,12 @@
 #define X(sym, name, help) {name, help},
 	MU_COUNTERS(X)
 #undef X
+},
+  gauge_names[MU_G_COUNT] =
+      {
+#define X(sym, name, help) {name, help},
+	  MU_GAUGES(X)
+#undef X
 },
   histogram_names[MU_H_COUNT] = {
 #define X(sym, name, help) {name, help},
@@ -61,6 +68,12 @@
 	    &stripes[stripe_index()].value[c], n, __ATOMIC_RELAXED);
 }
 
+void
+mu_gauge_set(enum mu_gauge g, uint64_t value)
+{
+	__atomic_store_n(&gauges[g], value, __ATOMIC_RELAXED);
+}
+
 uint64_t
 mu_counter_value(enum mu_counter c)
 {
@@ -95,6 +108,19 @@
 	__atomic_fetch_add(&g->sum, (uint64_t)value, __ATOMIC_RELAXED);
 }
 
+static void
+print_gauges(FILE *f)
+{
+	int i;
+
+	for (i = 0; i < MU_G_COUNT; i++)
+		fprintf(f, "# HELP mu_%s %s\n# TYPE mu_%s gauge\nmu_%s %llu\n",
+		    gauge_names[i].name, gauge_names[i].help,
+		    gauge_names[i].name, gauge_names[i].name,
+		    (unsigned long long)__atomic_load_n(
+			&gauges[i], __ATOMIC_RELAXED));
+}
+
 static void
 print_histogram(FILE *f, int h)
 {
@@ -135,6 +161,7 @@
 		    "# HELP mu_%s %s\n# TYPE mu_%s counter\nmu_%s %llu\n",
 		    counters[i].name, counters[i].help, counters[i].name,
 		    counters[i].name, (unsigned long long)mu_counter_value(i));
+	print_gauges(f);
 	for (i = 0; i < MU_H_COUNT; i++)
 		print_histogram(f, i);
 	if (fclose(f) != 0) {
--- a/src/metric.h
+++ b/src/metric.h
@@ -47,27 +47,27 @@
 	X(CONNECTIONS, "endpoint_connections_total", \
 	    "connections opened to endpoints") \
 	X(OVERDUE, "answers_overdue_total", "answers overdue by far") \
-	X(BODIES_TOO_LARGE, "bodies_too_large_total", \
-	    "bodies refused over the limit of one") \
-	X(BODIES_NO_ROOM, "bodies_no_room_total", \
-	    "bodies refused over the limit of all") \
-	X(BODIES_STALLED, "bodies_stalled_total", \
-	    "stalled bodies dropped to make room") \
-	X(BODIES_TIMEOUT, "bodies_timeout_total", \
-	    "bodies that did not arrive in time") \
-	X(ANSWERS_NO_ROOM, "answers_no_room_total", \
-	    "answers not sent over the limit of all") \
-	X(ANSWERS_STALLED, "answers_stalled_total", \
-	    "unread answers dropped to make room") \
-	X(CONNECTIONS_CLOSED, "connections_closed_total", \
-	    "connections closed to make room") \
+	X(ANSWERS_NO_ROOM, "answers_refused_no_room_total", \
+	    "answers without room in the account") \
 	X(LINKS_REFUSED, "links_refused_total", \
 	    "links between daemons closed over a limit") \
 	X(KEYS_REFUSED, "keys_refused_total", "requests without a valid key") \
 	X(LIMITED, "limited_total", "requests over their customer's limit") \
 	X(LIMIT_ASKS, "limit_asks_total", "rate limit requests to daemons") \
 	X(LIMIT_UNANSWERED, "limit_unanswered_total", \
-	    "rate limit requests without an answer")
+	    "rate limit requests without an answer") \
+	X(BODIES_TOO_LARGE, "bodies_refused_too_large_total", \
+	    "bodies over the limit of one body") \
+	X(BODIES_NO_ROOM, "bodies_refused_no_room_total", \
+	    "bodies without room in the account") \
+	X(BODIES_STALLED, "bodies_dropped_stalled_total", \
+	    "incomplete bodies dropped to make room") \
+	X(BODIES_TIMEOUT, "bodies_dropped_timeout_total", \
+	    "bodies not complete in time") \
+	X(ANSWERS_UNREAD, "answers_unread_total", \
+	    "answers aborted since their callers did not read them") \
+	X(CONNECTIONS_CLOSED, "connections_closed_for_room_total", \
+	    "callers' connections closed to accept others")
 
 enum mu_counter {
 #define X(sym, name, help) MU_M_##sym,
@@ -92,12 +92,29 @@
 	MU_H_COUNT
 };
 
+/* X(symbol, name, help) */
+#define MU_GAUGES(X) \
+	X(HELD_BODY, "held_body_bytes", "held for bodies of requests") \
+	X(HELD_ANSWER, "held_answer_bytes", \
+	    "held of answers that callers have not taken") \
+	X(HELD_PEER, "held_peer_bytes", "held of frames of other daemons") \
+	X(HELD_STORE, "held_store_bytes", "held for operations of the store") \
+	X(HELD_LIMIT, "held_limit_bytes", "limit of the bytes held")
+
+enum mu_gauge {
+#define X(sym, name, help) MU_G_##sym,
+	MU_GAUGES(X)
+#undef X
+	MU_G_COUNT
+};
+
+void mu_gauge_set(enum mu_gauge g, uint64_t value);
 void mu_count(enum mu_counter c, uint64_t n);
 uint64_t mu_counter_value(enum mu_counter c);
 void mu_observe(enum mu_histogram h, mu_us value);
 
-/* All counters and histograms in the Prometheus text format; malloc'd, NULL
- * when out of memory. */
+/* All counters, gauges and histograms in the Prometheus text format; malloc'd,
+ * NULL when out of memory. */
 char *mu_metrics_text(void);
 
 #endif
--- a/src/oper.c
+++ b/src/oper.c
@@ -325,22 +325,6 @@
 	return rc;
 }
 
-/* Counters and histograms, then the memory held for clients. */
-static enum MHD_Result
-get_metrics(struct mu_daemon *d, struct mu_web_req *r)
-{
-	char *counters = mu_metrics_text();
-	char *gauges = mu_webmem_metrics(d->webmem);
-	char *text = NULL;
-
-	if (counters != NULL && gauges != NULL &&
-	    asprintf(&text, "%s%s", counters, gauges) < 0)
-		text = NULL;
-	free(counters);
-	free(gauges);
-	return mu_web_text(r, 200, text, "text/plain; version=0.0.4");
-}
-
 static enum MHD_Result
 handle_get(struct mu_daemon *d, struct mu_web_req *r)
 {
@@ -355,7 +339,8 @@
 	if (strncmp(r->path, "/v1/explain/", 12) == 0)
 		return get_explain(d, r, r->path + 12);
 	if (strcmp(r->path, "/metrics") == 0)
-		return get_metrics(d, r);
+		return mu_web_text(
+		    r, 200, mu_metrics_text(), "text/plain; version=0.0.4");
 	return reject_as(r, MU_E_NOT_FOUND, "no such resource");
 }
 
--- a/src/webmem.c
+++ b/src/webmem.c
@@ -11,7 +11,6 @@
  */
 #include <jansson.h>
 #include <pthread.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -49,6 +48,7 @@
 	m->conf = *conf;
 	pthread_mutex_init(&m->lock, NULL);
 	mu_acct_init(&m->acct, conf->limit);
+	mu_gauge_set(MU_G_HELD_LIMIT, conf->limit);
 	m->logged_at = mu_now(conf->clock) - LOG_INTERVAL_US;
 	*out = m;
 	return 0;
@@ -70,33 +70,19 @@
 	return mu_now(m->conf.clock);
 }
 
-char *
-mu_webmem_metrics(struct mu_webmem *m)
+static void
+lock(struct mu_webmem *m)
 {
-	size_t used[MU_ACCT_USE_COUNT], size = 0;
-	char *text = NULL;
-	FILE *f = open_memstream(&text, &size);
-	int i;
-
-	if (f == NULL)
-		return NULL;
 	pthread_mutex_lock(&m->lock);
-	memcpy(used, m->acct.used, sizeof(used));
+}
+
+/* Also publishes the bytes held. */
+static void
+unlock(struct mu_webmem *m)
+{
+	mu_gauge_set(MU_G_HELD_BODY, m->acct.used[MU_ACCT_BODY]);
+	mu_gauge_set(MU_G_HELD_ANSWER, m->acct.used[MU_ACCT_ANSWER]);
 	pthread_mutex_unlock(&m->lock);
-	(void)fprintf(f, "# HELP mu_held_bytes bytes held for clients\n"
-			 "# TYPE mu_held_bytes gauge\n");
-	for (i = 0; i < MU_ACCT_USE_COUNT; i++)
-		(void)fprintf(f, "mu_held_bytes{use=\"%s\"} %zu\n",
-		    mu_acct_use_name((enum mu_acct_use)i), used[i]);
-	(void)fprintf(f,
-	    "# HELP mu_held_limit_bytes limit of the bytes held for clients\n"
-	    "# TYPE mu_held_limit_bytes gauge\nmu_held_limit_bytes %zu\n",
-	    m->conf.limit);
-	if (fclose(f) != 0) {
-		free(text);
-		return NULL;
-	}
-	return text;
 }
 
 /* Counts a refusal or a drop, and logs it at most once a second. */
@@ -109,17 +95,17 @@
 	size_t held;
 
 	mu_count(counter, 1);
-	pthread_mutex_lock(&m->lock);
+	lock(m);
 	held = m->acct.total;
 	suppressed = m->suppressed;
 	if (now - m->logged_at < LOG_INTERVAL_US) {
 		m->suppressed++;
-		pthread_mutex_unlock(&m->lock);
+		unlock(m);
 		return;
 	}
 	m->suppressed = 0;
 	m->logged_at = now;
-	pthread_mutex_unlock(&m->lock);
+	unlock(m);
 	mu_log(MU_LOG_WARN, "web", "body_refused", "{s:s,s:s,s:I,s:I,s:I}",
 	    "reason", reason, "client", conn != NULL ? conn->client : "",
 	    "held_bytes", (json_int_t)held, "limit_bytes",
@@ -146,7 +132,7 @@
 		mu_stream_unref(w->stream);
 		w->stream = NULL;
 		fd = w->conn->fd;
-		mu_count(MU_M_ANSWERS_STALLED, 1);
+		mu_count(MU_M_ANSWERS_UNREAD, 1);
 		break;
 	case MU_ACCT_PEER:
 	case MU_ACCT_STORE:
@@ -256,9 +242,9 @@
 		report(m, MU_M_BODIES_TOO_LARGE, "too_large", conn);
 		return MU_WEBMEM_TOO_LARGE;
 	}
-	pthread_mutex_lock(&m->lock);
+	lock(m);
 	ok = resize(b, (size_t)declared + 1);
-	pthread_mutex_unlock(&m->lock);
+	unlock(m);
 	if (!ok)
 		report(m, MU_M_BODIES_NO_ROOM, "no_room", conn);
 	return ok ? MU_WEBMEM_OK : MU_WEBMEM_NO_ROOM;
@@ -272,9 +258,9 @@
 	bool first = !b->too_large;
 
 	if (first) {
-		pthread_mutex_lock(&b->mem->lock);
+		lock(b->mem);
 		free_body(b);
-		pthread_mutex_unlock(&b->mem->lock);
+		unlock(b->mem);
 		b->too_large = true;
 		b->discarded = b->len;
 		report(b->mem, MU_M_BODIES_TOO_LARGE, "too_large", b->conn);
@@ -313,12 +299,12 @@
 	}
 	if (b->too_large || len > b->max - b->len)
 		return discard(b, len) ? MU_WEBMEM_OK : MU_WEBMEM_CLOSE;
-	pthread_mutex_lock(&b->mem->lock);
+	lock(b->mem);
 	dropped = b->dropped;
 	ok = !dropped && store(b, data, len);
 	if (!ok && !dropped)
 		free_body(b);
-	pthread_mutex_unlock(&b->mem->lock);
+	unlock(b->mem);
 	if (!ok && !dropped)
 		report(b->mem, MU_M_BODIES_NO_ROOM, "no_room", b->conn);
 	return ok ? MU_WEBMEM_OK : MU_WEBMEM_CLOSE;
@@ -335,7 +321,7 @@
 {
 	bool dropped, ok;
 
-	pthread_mutex_lock(&b->mem->lock);
+	lock(b->mem);
 	dropped = b->dropped;
 	b->holder.may_drop = false;
 	ok = !dropped && take_copies(b);
@@ -343,7 +329,7 @@
 		free_body(b);
 		free_copies(b);
 	}
-	pthread_mutex_unlock(&b->mem->lock);
+	unlock(b->mem);
 	if (dropped)
 		return MU_WEBMEM_CLOSE;
 	if (!ok)
@@ -354,18 +340,18 @@
 void
 mu_webbody_free_data(struct mu_webbody *b)
 {
-	pthread_mutex_lock(&b->mem->lock);
+	lock(b->mem);
 	free_body(b);
-	pthread_mutex_unlock(&b->mem->lock);
+	unlock(b->mem);
 }
 
 void
 mu_webbody_end(struct mu_webbody *b)
 {
-	pthread_mutex_lock(&b->mem->lock);
+	lock(b->mem);
 	free_body(b);
 	free_copies(b);
-	pthread_mutex_unlock(&b->mem->lock);
+	unlock(b->mem);
 }
 
 /*
@@ -387,11 +373,11 @@
 	mu_acct_holder_init(
 	    &w->holder, MU_ACCT_ANSWER, conn != NULL ? conn->client_key : 0, w);
 	w->holder.may_drop = conn != NULL;
-	pthread_mutex_lock(&m->lock);
+	lock(m);
 	ok = take(m, &w->holder, w->reply->len);
 	if (ok)
 		w->stream = mu_stream_ref(ended);
-	pthread_mutex_unlock(&m->lock);
+	unlock(m);
 	if (ok)
 		return w;
 	report(m, MU_M_ANSWERS_NO_ROOM, "answer_no_room", conn);
@@ -404,7 +390,7 @@
 {
 	size_t n = 0;
 
-	pthread_mutex_lock(&w->mem->lock);
+	lock(w->mem);
 	if (w->stream != NULL && pos < w->reply->len) {
 		n = w->reply->len - (size_t)pos;
 		if (n > max)
@@ -412,16 +398,16 @@
 		memcpy(buf, w->reply->body + pos, n);
 		mu_acct_progress(&w->holder, mu_webmem_now(w->mem));
 	}
-	pthread_mutex_unlock(&w->mem->lock);
+	unlock(w->mem);
 	return n;
 }
 
 void
 mu_webanswer_free(struct mu_webanswer *w)
 {
-	pthread_mutex_lock(&w->mem->lock);
+	lock(w->mem);
 	mu_stream_unref(w->stream);
 	mu_acct_give(&w->mem->acct, &w->holder, SIZE_MAX);
-	pthread_mutex_unlock(&w->mem->lock);
+	unlock(w->mem);
 	free(w);
 }
--- a/src/webmem.h
+++ b/src/webmem.h
@@ -31,8 +31,6 @@
 int mu_webmem_new(struct mu_webmem **m, const struct mu_webmem_conf *conf);
 void mu_webmem_free(struct mu_webmem *m);
 mu_us mu_webmem_now(const struct mu_webmem *m);
-/* Gauges in the text format of /metrics; malloc'd, NULL when out of memory. */
-char *mu_webmem_metrics(struct mu_webmem *m);
 
 enum mu_webmem_result {
 	MU_WEBMEM_OK,
--- a/test/test_webmem.c
+++ b/test/test_webmem.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 #include <cmocka.h>
 
+#include "metric.h"
 #include "webmem.h"
 
 #define MB ((size_t)1 << 20)
@@ -89,14 +90,15 @@
 static size_t
 held(void)
 {
-	char *text = mu_webmem_metrics(fx.mem);
+	static const char name[] = "\nmu_held_body_bytes ";
+	char *text = mu_metrics_text();
 	const char *p;
 	size_t n;
 
 	assert_non_null(text);
-	p = strstr(text, "{use=\"body\"} ");
+	p = strstr(text, name);
 	assert_non_null(p);
-	n = strtoul(p + 13, NULL, 10);
+	n = strtoul(p + strlen(name), NULL, 10);
 	free(text);
 	return n;
 }
