--- a/src/link.c
+++ b/src/link.c
@@ -8,7 +8,8 @@
  *
  * A link is closed when nothing was read for silence_ms, when a write made no
  * progress for as long (a frozen peer with a full socket buffer), when the
- * peer closes it, or on a malformed frame.  The silence timeout is checked
+ * peer closes it, on a malformed frame, or on a large one for which there is no
+ * room in the memory that incoming links share.  The silence timeout is checked
  * only after poll() found nothing to read, so that a process that was paused
  * first reads the data that arrived meanwhile.
  */
@@ -25,6 +26,8 @@
 
 #include "frame.h"
 #include "link.h"
+#include "log.h"
+#include "metric.h"
 #include "net.h"
 #include "worker.h"
 
@@ -59,6 +62,7 @@
 	uint8_t *read_buf; /* received, not yet decoded; reader only */
 	size_t read_len;
 	size_t read_size;
+	struct mu_link_input *input; /* may be NULL */
 };
 
 struct mu_link *
@@ -96,6 +100,34 @@
 	return NULL;
 }
 
+/* Counts the change of the read buffer to size bytes; false without room. */
+static bool
+count_input(struct mu_link *l, size_t size)
+{
+	size_t total;
+
+	if (l->input == NULL)
+		return true;
+	if (size <= l->read_size) {
+		__atomic_sub_fetch(
+		    &l->input->bytes, l->read_size - size, __ATOMIC_RELAXED);
+		return true;
+	}
+	total = __atomic_add_fetch(
+	    &l->input->bytes, size - l->read_size, __ATOMIC_RELAXED);
+	if (total <= l->input->max)
+		return true;
+	__atomic_sub_fetch(
+	    &l->input->bytes, size - l->read_size, __ATOMIC_RELAXED);
+	return false;
+}
+
+void
+mu_link_share_input(struct mu_link *l, struct mu_link_input *input)
+{
+	l->input = input;
+}
+
 struct mu_link *
 mu_link_ref(struct mu_link *l)
 {
@@ -124,6 +156,7 @@
 	pthread_mutex_destroy(&l->lock);
 	close(l->fd);
 	close(l->stop);
+	(void)count_input(l, READ_BUF_BYTES);
 	free(l->read_buf);
 	free(l);
 }
@@ -313,12 +346,23 @@
 	if (need <= l->read_size &&
 	    (l->read_len > 0 || l->read_size == READ_BUF_BYTES))
 		return 0;
+	if (!count_input(l, need)) {
+		mu_count(MU_M_LINKS_REFUSED, 1);
+		mu_log(MU_LOG_WARN, "link", "link_refused", "{s:s,s:s}",
+		    "reason", "input", "host", l->host);
+		return MU_E_OVERLOADED;
+	}
 	p = realloc(l->read_buf, need);
 	if (p == NULL)
-		return MU_E_NOMEM;
+		goto no_memory;
 	l->read_buf = p;
 	l->read_size = need;
 	return 0;
+no_memory:
+	if (l->input != NULL)
+		__atomic_sub_fetch(
+		    &l->input->bytes, need - l->read_size, __ATOMIC_RELAXED);
+	return MU_E_NOMEM;
 }
 
 static int
--- a/src/link.h
+++ b/src/link.h
@@ -18,6 +18,12 @@
 	    struct mu_arena *arena);
 };
 
+/* Memory for large frames that several links receive. */
+struct mu_link_input {
+	size_t bytes; /* atomic */
+	size_t max;
+};
+
 struct mu_link_conf {
 	const char *host; /* name of the peer */
 	void *owner; /* returned by mu_link_owner() */
@@ -28,6 +34,8 @@
 /* Takes ownership of fd, also on failure.  Returns the first reference. */
 struct mu_link *mu_link_new(
     int fd, const struct mu_link_conf *conf, const struct mu_link_hooks *hooks);
+/* Limits the memory for large frames; before mu_link_run(). */
+void mu_link_share_input(struct mu_link *l, struct mu_link_input *input);
 struct mu_link *mu_link_ref(struct mu_link *l);
 void mu_link_unref(struct mu_link *l);
 const char *mu_link_host(const struct mu_link *l);
--- a/src/listen.c
+++ b/src/listen.c
@@ -4,24 +4,29 @@
  * One thread accepts connections.  Each incoming link has its own thread,
  * which performs the handshake and reads until the link closes.  The number
  * of links is limited; a connection beyond the limit is closed before
- * anything is read from it.
+ * anything is read from it.  So that strangers cannot use all of them, the
+ * number of handshakes is limited further; one more ends the oldest.
  */
 #include <poll.h>
 #include <stdlib.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "metric.h"
 #include "net.h"
 #include "peerset.h"
 
 #define INCOMING_LINKS_MAX 1024
+/* Half of the descriptors that max_connections leaves. */
+#define HANDSHAKES_MAX 256
 #define ACCEPT_RETRY_MS 100U /* after accept() failed, e.g. with EMFILE */
 
 /* An incoming link; link is set after the handshake. */
 struct incoming {
-	struct cds_list_head node;
+	struct cds_list_head node; /* of the handshakes, then of the links */
 	struct mu_peers *set;
 	int fd;
+	bool ended; /* the handshake, for a newer one */
 	struct mu_link *link;
 };
 
@@ -57,15 +62,50 @@
 	mu_link_unref(in->link);
 }
 
+static void
+handshake_begin(struct incoming *in)
+{
+	struct mu_peers *p = in->set;
+	struct incoming *oldest;
+
+	pthread_mutex_lock(&p->lock);
+	cds_list_add_tail(&in->node, &p->handshakes);
+	if (++p->nhandshakes > HANDSHAKES_MAX) {
+		cds_list_for_each_entry (oldest, &p->handshakes, node)
+			if (!oldest->ended)
+				break;
+		oldest->ended = true;
+		p->nhandshakes--;
+		(void)shutdown(oldest->fd, SHUT_RDWR);
+		mu_count(MU_M_LINKS_REFUSED, 1);
+	}
+	pthread_mutex_unlock(&p->lock);
+}
+
+/* Must precede the close of the descriptor. */
+static void
+handshake_end(struct incoming *in)
+{
+	struct mu_peers *p = in->set;
+
+	pthread_mutex_lock(&p->lock);
+	cds_list_del(&in->node);
+	if (!in->ended)
+		p->nhandshakes--;
+	pthread_mutex_unlock(&p->lock);
+}
+
 static void
 incoming_main(void *arg)
 {
 	struct incoming *in = arg;
 	struct mu_peers *p = in->set;
 	char host[MU_NAME_LEN];
+	int rc;
 
-	if (mu_hello_accept(&p->hello, in->fd, p->stop, p->connect_ms, host) ==
-	    0)
+	rc = mu_hello_accept(&p->hello, in->fd, p->stop, p->connect_ms, host);
+	handshake_end(in);
+	if (rc == 0)
 		incoming_run(in, host);
 	else
 		close(in->fd);
@@ -80,9 +120,11 @@
 	if (in != NULL) {
 		in->set = p;
 		in->fd = fd;
+		handshake_begin(in);
 		if (mu_workers_start(&p->incoming_threads, incoming_main, in) ==
 		    0)
 			return;
+		handshake_end(in);
 	}
 	free(in);
 	close(fd);
--- a/src/peer.c
+++ b/src/peer.c
@@ -33,6 +33,10 @@
 
 #define RECONNECT_MIN_MS 50U
 #define RECONNECT_MAX_MS 2000U
+/* Large frames on incoming links: 64 bodies of the default largest size.
+ * Without a peer key, whoever connects could otherwise fill 16 MiB on each
+ * link. */
+#define INCOMING_INPUT_MAX_BYTES ((size_t)64 << 20)
 #define FORWARD_THREADS_MAX 512 /* forwarded requests served concurrently */
 
 /* A target peer and the outgoing link to it. */
@@ -143,8 +147,11 @@
 	    .heartbeat_ms = p->heartbeat_ms,
 	    .silence_ms = p->silence_ms,
 	};
+	struct mu_link *l = mu_link_new(fd, &conf, &p->link_hooks);
 
-	return mu_link_new(fd, &conf, &p->link_hooks);
+	if (l != NULL && owner == NULL)
+		mu_link_share_input(l, &p->input);
+	return l;
 }
 
 /* Connects and performs the handshake.  Returns the descriptor or -1. */
@@ -429,6 +436,8 @@
 	pthread_mutex_init(&p->lock, NULL);
 	CDS_INIT_LIST_HEAD(&p->peers);
 	CDS_INIT_LIST_HEAD(&p->incoming);
+	CDS_INIT_LIST_HEAD(&p->handshakes);
+	p->input.max = INCOMING_INPUT_MAX_BYTES;
 }
 
 int
--- a/src/peerset.h
+++ b/src/peerset.h
@@ -26,11 +26,14 @@
 	int stop; /* eventfd: readable once the set is closing */
 	pthread_t listener;
 	struct mu_workers incoming_threads;
+	struct mu_link_input input; /* of incoming links */
 	struct mu_workers forward_threads;
 	pthread_mutex_t set_lock; /* serializes mu_peers_set_targets() */
 	pthread_mutex_t lock; /* for all below; never held while blocking */
 	struct cds_list_head peers;
 	struct cds_list_head incoming;
+	struct cds_list_head handshakes; /* on incoming links; oldest first */
+	unsigned nhandshakes; /* without those that were shut down */
 	bool closing;
 };
 
--- a/test/test_peer.c
+++ b/test/test_peer.c
@@ -3,6 +3,7 @@
 #include <stddef.h>
 #include <setjmp.h>
 #include <stdint.h>
+#include <errno.h>
 #include <cmocka.h>
 
 #include "fakepeer.h"
@@ -12,6 +13,10 @@
 #define SHORT_MS 60
 #define SILENCE_MS 1000
 #define BIG_BYTES ((size_t)5 << 20)
+#define HANDSHAKES 256 /* that a daemon keeps */
+#define LARGE_FRAMES 4 /* of 16 MiB that a daemon receives at once */
+
+static char large_body[BIG_BYTES];
 
 static void
 test_forward_between_two(void **state)
@@ -419,6 +424,98 @@
 	close(fd[1]);
 }
 
+static int
+connect_raw(const char *addr)
+{
+	bool pending;
+	int fd;
+
+	assert_int_equal(mu_net_connect(addr, &fd, &pending), 0);
+	assert_int_equal(
+	    mu_net_wait(fd, POLLOUT, -1, mu_net_deadline(LONG_MS)), 0);
+	return fd;
+}
+
+static bool
+is_closed(int fd)
+{
+	char buf[256];
+	ssize_t n;
+
+	do
+		n = recv(fd, buf, sizeof(buf), MSG_DONTWAIT);
+	while (n > 0);
+	return n == 0 || errno != EAGAIN;
+}
+
+/* Connections without a handshake must not keep daemons out. */
+static void
+test_unfinished_handshakes(void **state)
+{
+	struct test_daemon a, b;
+	int fd[HANDSHAKES + 1], i;
+
+	(void)state;
+	daemon_open(&a, "a", "secret", LONG_MS);
+	daemon_open(&b, "b", "secret", LONG_MS);
+	for (i = 0; i < HANDSHAKES; i++)
+		fd[i] = connect_raw(a.addr);
+	assert_false(is_closed(fd[0]));
+	fd[HANDSHAKES] = connect_raw(a.addr);
+	WAIT_FOR(is_closed(fd[0]));
+	assert_false(is_closed(fd[1]));
+	connect_to(&b, "a", a.addr);
+	WAIT_FOR(mu_peers_link_up(b.peers, "a"));
+	WAIT_FOR(is_closed(fd[1]));
+	assert_false(is_closed(fd[HANDSHAKES]));
+	for (i = 0; i <= HANDSHAKES; i++)
+		close(fd[i]);
+	mu_peers_close(a.peers);
+	mu_peers_close(b.peers);
+}
+
+/* Without a peer key, unfinished frames of whoever connects must not take more
+ * than the limit of all. */
+static void
+test_unfinished_large_frames(void **state)
+{
+	static const uint8_t prefix[] = {1, 0, 0, 0}; /* 16 MiB */
+	struct mu_hello_conf hello = {.host = "stranger"};
+	struct mu_peer_reply r;
+	struct test_daemon a, b;
+	char host[MU_NAME_LEN];
+	int fd[LARGE_FRAMES + 1], i, rc, closed = 0;
+
+	(void)state;
+	daemon_open(&a, "a", NULL, LONG_MS);
+	daemon_open(&b, "b", NULL, LONG_MS);
+	for (i = 0; i <= LARGE_FRAMES; i++) {
+		fd[i] = connect_raw(a.addr);
+		assert_int_equal(
+		    mu_hello_connect(&hello, fd[i], -1, LONG_MS, host), 0);
+		assert_int_equal(send(fd[i], prefix, 4, MSG_NOSIGNAL), 4);
+	}
+	do {
+		usleep(1000);
+		for (i = 0, closed = 0; i <= LARGE_FRAMES; i++)
+			closed += is_closed(fd[i]);
+	} while (closed == 0);
+	assert_int_equal(closed, 1);
+	for (i = 0; i <= LARGE_FRAMES; i++)
+		close(fd[i]);
+	/* What they took must be given back. */
+	connect_to(&b, "a", a.addr);
+	WAIT_FOR(mu_peers_link_up(b.peers, "a"));
+	do
+		rc = forward(
+		    &b, "a", large_body, sizeof(large_body), LONG_MS, &r);
+	while (rc != 0);
+	assert_int_equal(r.body_len, sizeof(large_body));
+	free(r.body);
+	mu_peers_close(a.peers);
+	mu_peers_close(b.peers);
+}
+
 int
 main(void)
 {
@@ -434,6 +531,8 @@
 	    cmocka_unit_test(test_missing_chunk_is_noticed),
 	    cmocka_unit_test(test_other_host_at_address_is_refused),
 	    cmocka_unit_test(test_shared_key),
+	    cmocka_unit_test(test_unfinished_handshakes),
+	    cmocka_unit_test(test_unfinished_large_frames),
 	    cmocka_unit_test(test_forward_beyond_bound_is_refused),
 	};
 
