--- a/src/mesh.c
+++ b/src/mesh.c
@@ -7,9 +7,13 @@
  * fail as soon as their link is closed, so that their senders can try another
  * path at once.
  *
- * Anyone can connect to the port.  Until a link has given a name, in its first
- * heartbeat, its frames must be small, it has a few seconds for it, and there
- * are not many such links; daemons send their large frames after a heartbeat.
+ * Anyone who reaches the mesh port can connect.  What accepted links hold is
+ * therefore limited: a link must give its name with a heartbeat in time, and
+ * before that may send small frames only; the number of links from daemons that
+ * aren't listed is limited, and so are all incomplete frames together, in
+ * bytes. Beyond a limit, links of daemons that aren't listed are closed first.
+ * They are not limited to small frames: a daemon that starts while the store is
+ * down lists no other and gets a large seed.
  */
 #include <errno.h>
 #include <jansson.h>
@@ -26,24 +30,27 @@
 #include "hmap.h"
 #include "log.h"
 #include "mesh.h"
+#include "metric.h"
 #include "net.h"
 
 #define SEND_QUEUE_MAX_BYTES ((size_t)8 << 20) /* per link */
 #define READ_BYTES 16384
-/* A larger buffer of received bytes is freed once it is empty. */
-#define INPUT_KEPT_BYTES ((size_t)64 << 10)
 #define DIAL_INTERVAL_US (1 * MU_US_PER_S) /* between attempts to a peer */
 #define CONNECT_TIMEOUT_US (500 * MU_US_PER_MS)
 #define KEEPALIVE_INTERVAL_S 10 /* between probes on an idle link */
 /* Links to each other failure domain, for relaying store operations that this
  * domain cannot run, and for callers when the whole domain is down. */
 #define REMOTE_DOMAIN_LINKS 3
-
-/* Of a frame on an accepted link without a name. */
-#define UNNAMED_FRAME_MAX_BYTES ((size_t)64 << 10)
+/* Daemons send heartbeats several times a second. */
 #define NAME_TIMEOUT_US (5 * MU_US_PER_S)
-/* More than a fleet of a thousand daemons dials between two heartbeats. */
-#define UNNAMED_LINKS_MAX 256
+/* Accepted links of daemons that aren't listed; half of the descriptors that
+ * max_connections leaves. */
+#define UNLISTED_LINKS_MAX 256
+#define UNNAMED_FRAME_MAX_BYTES ((size_t)64 << 10)
+/* Buffers of incomplete frames, on a host of 96 MB beside what callers hold;
+ * daemons send frames of up to some MiB. */
+#define INPUT_MAX_BYTES ((size_t)24 << 20)
+#define KEPT_BUFFER_BYTES ((size_t)64 << 10) /* of a link without input */
 
 struct mu_mesh_link {
 	struct cds_list_head node;
@@ -52,12 +59,12 @@
 	unsigned references;
 	bool closed;
 	bool connecting;
-	bool named; /* a heartbeat was received, or sent if dialled */
+	bool named; /* accepted links: a heartbeat has arrived */
+	bool listed; /* and it was a listed daemon's */
 	mu_us opened_at;
 	struct mu_watch watch;
 	struct mu_buf in;
 	struct mu_buf out;
-	struct mu_acct_holder hold; /* of in */
 	struct cds_list_head requests; /* waiting for a reply */
 };
 
@@ -79,13 +86,17 @@
 	struct mu_watch listener;
 	struct mu_timer heartbeat_timer;
 	struct cds_list_head peers;
-	struct cds_list_head links; /* the newest first */
-	unsigned nunnamed; /* accepted links without a name */
+	struct cds_list_head links; /* newest first */
+	unsigned unlisted; /* accepted links of daemons that aren't listed */
+	size_t input_bytes; /* allocated for input of accepted links */
+	struct mu_acct *acct; /* counts them; NULL: not counted */
+	struct mu_acct_holder input_hold;
+	bool accept_paused;
 	uint64_t next_id;
-	struct mu_acct *acct; /* NULL: nothing is counted */
 };
 
 static void on_link_event(void *arg, uint32_t events);
+static bool queue_frame(struct mu_mesh_link *l, const Mu__Frame *f);
 
 struct mu_mesh_link *
 mu_mesh_link_ref(struct mu_mesh_link *l)
@@ -140,11 +151,20 @@
 		m->hooks.on_changed(m->hooks.arg, p);
 }
 
-/* An accepted link whose peer has not told its name. */
-static bool
-is_unnamed(const struct mu_mesh_link *l)
+/* Frames of peers are never refused for lack of room: an overload by callers
+ * would cut the daemons off from each other. */
+static void
+count_input(struct mu_mesh *m)
 {
-	return l->peer == NULL && !l->named && !l->closed;
+	size_t counted = m->input_hold.bytes;
+
+	if (m->acct == NULL)
+		return;
+	if (m->input_bytes > counted)
+		mu_acct_force(m->acct, &m->input_hold, m->input_bytes - counted,
+		    mu_loop_now(m->loop));
+	else
+		mu_acct_give(m->acct, &m->input_hold, counted - m->input_bytes);
 }
 
 static void
@@ -155,11 +175,12 @@
 
 	if (l->closed)
 		return;
-	if (is_unnamed(l))
-		l->mesh->nunnamed--;
 	l->closed = true;
-	if (l->mesh->acct != NULL)
-		mu_acct_give(l->mesh->acct, &l->hold, SIZE_MAX);
+	if (p == NULL) {
+		l->mesh->input_bytes -= l->in.size;
+		count_input(l->mesh);
+		l->mesh->unlisted -= l->listed ? 0 : 1;
+	}
 	mu_watch_del(l->mesh->loop, &l->watch);
 	(void)close(l->watch.fd);
 	cds_list_del(&l->node);
@@ -198,6 +219,49 @@
 	mu_watch_set(l->mesh->loop, &l->watch, EPOLLIN);
 }
 
+/* Returns NULL when out of memory. */
+static Mu__Beat *
+new_heartbeat(struct mu_mesh *m)
+{
+	Mu__Beat *b = malloc(sizeof(*b));
+
+	if (b == NULL)
+		return NULL;
+	mu__beat__init(b);
+	b->host = strdup(m->host);
+	b->incarnation = m->conf.incarnation;
+	m->hooks.fill_heartbeat(m->hooks.arg, b);
+	return b;
+}
+
+/* Uses are of interest within a failure domain only. */
+static bool
+queue_heartbeat(struct mu_mesh *m, struct mu_peer *p, Mu__Beat *b)
+{
+	Mu__Frame f = MU__FRAME__INIT;
+	size_t nuses = b->n_uses;
+	bool queued;
+
+	f.body_case = MU__FRAME__BODY_BEAT;
+	f.beat = b;
+	b->n_uses = strcmp(p->domain, m->domain) == 0 ? nuses : 0;
+	queued = queue_frame(p->link, &f);
+	b->n_uses = nuses;
+	return queued;
+}
+
+/* A large frame is accepted only after the name. */
+static void
+queue_name(struct mu_mesh_link *l)
+{
+	Mu__Beat *b = new_heartbeat(l->mesh);
+
+	if (b == NULL)
+		return;
+	(void)queue_heartbeat(l->mesh, l->peer, b);
+	mu__beat__free_unpacked(b, NULL);
+}
+
 static bool
 queue_frame(struct mu_mesh_link *l, const Mu__Frame *f)
 {
@@ -205,14 +269,13 @@
 	size_t n;
 
 	if (l == NULL || l->closed ||
-	    mu_buf_len(&l->out) > SEND_QUEUE_MAX_BYTES ||
-	    mu_frame_encode(f, &p, &n) != 0)
+	    mu_buf_len(&l->out) > SEND_QUEUE_MAX_BYTES)
 		return false;
-	/* The peer would close the link. */
-	if (l->peer != NULL && !l->named && n > UNNAMED_FRAME_MAX_BYTES) {
-		free(p);
+	if (l->connecting && mu_buf_len(&l->out) == 0 &&
+	    f->body_case != MU__FRAME__BODY_BEAT)
+		queue_name(l);
+	if (mu_frame_encode(f, &p, &n) != 0)
 		return false;
-	}
 	(void)mu_buf_add(&l->out, p, n);
 	free(p);
 	/* Sent from the loop, because callers must not see the link closed
@@ -266,15 +329,24 @@
 		mu__beat__free_unpacked(before, NULL);
 }
 
+static void
+note_name(struct mu_mesh_link *l, const char *host)
+{
+	if (l->peer != NULL || *host == '\0')
+		return;
+	l->named = true;
+	if (l->listed || mu_mesh_find_peer(l->mesh, host) == NULL)
+		return;
+	l->listed = true;
+	l->mesh->unlisted--;
+}
+
 static void
 handle_frame(struct mu_mesh_link *l, Mu__Frame *f)
 {
 	switch (f->body_case) {
 	case MU__FRAME__BODY_BEAT:
-		if (is_unnamed(l) && *f->beat->host != '\0') {
-			l->named = true;
-			l->mesh->nunnamed--;
-		}
+		note_name(l, f->beat->host);
 		if (l->mesh->hooks.on_any_heartbeat != NULL)
 			l->mesh->hooks.on_any_heartbeat(
 			    l->mesh->hooks.arg, l, f->beat);
@@ -307,7 +379,20 @@
 	}
 }
 
-/* Handles the complete frames received; false when one is malformed. */
+/* Whether the incomplete frame at the start of the input may be received. */
+static bool
+may_receive(const struct mu_mesh_link *l)
+{
+	const uint8_t *p = (const uint8_t *)mu_buf_data(&l->in);
+
+	return l->peer != NULL || l->named ||
+	       mu_buf_len(&l->in) < MU_FRAME_PREFIX_BYTES ||
+	       mu_frame_size(p) <=
+		   MU_FRAME_PREFIX_BYTES + UNNAMED_FRAME_MAX_BYTES;
+}
+
+/* Handles the complete frames received; false when one is malformed or too
+ * large. */
 static bool
 decode_frames(struct mu_mesh_link *l)
 {
@@ -319,7 +404,7 @@
 			mu_buf_len(&l->in), &used, &f) != 0)
 			return false;
 		if (f == NULL)
-			return true;
+			return may_receive(l);
 		mu_buf_consume(&l->in, used);
 		handle_frame(l, f);
 		mu_frame_free(f);
@@ -328,36 +413,55 @@
 	}
 }
 
-/* The next frame is small as a rule. */
-static void
-shrink_input(struct mu_mesh_link *l)
+/* The accepted link to close first: of a daemon that isn't listed, then the
+ * one with the largest buffer. */
+static struct mu_mesh_link *
+largest_input(struct mu_mesh *m)
 {
-	if (mu_buf_len(&l->in) == 0 && l->in.size > INPUT_KEPT_BYTES)
-		mu_buf_clear(&l->in);
+	struct mu_mesh_link *l, *best = NULL;
+
+	cds_list_for_each_entry (l, &m->links, node) {
+		if (l->peer != NULL || l->in.size <= KEPT_BUFFER_BYTES)
+			continue;
+		if (best == NULL || (!l->listed && best->listed) ||
+		    (l->listed == best->listed && l->in.size > best->in.size))
+			best = l;
+	}
+	return best;
 }
 
-static bool
-frame_too_large(const struct mu_mesh_link *l)
+static void
+close_refused(struct mu_mesh_link *l, const char *reason)
 {
-	return is_unnamed(l) && mu_buf_len(&l->in) >= MU_FRAME_PREFIX_BYTES &&
-	       mu_frame_size((const uint8_t *)mu_buf_data(&l->in)) >
-		   UNNAMED_FRAME_MAX_BYTES;
+	mu_count(MU_M_LINKS_REFUSED, 1);
+	mu_log(MU_LOG_WARN, "mesh", "link_refused", "{s:s,s:i}", "reason",
+	    reason, "unlisted", (int)l->mesh->unlisted);
+	link_close(l);
 }
 
-/* Frames of peers are never refused for lack of room: a crowd of callers would
- * cut the daemons off from each other. */
-static void
-count_received(struct mu_mesh_link *l)
+/* Space to read into.  Returns NULL when out of memory or l was closed. */
+static char *
+reserve_input(struct mu_mesh_link *l)
 {
-	struct mu_acct *a = l->mesh->acct;
+	struct mu_mesh *m = l->mesh;
+	size_t before = l->in.size;
+	struct mu_mesh_link *largest;
+	char *space;
 
-	if (a == NULL || l->closed)
-		return;
-	if (l->in.size > l->hold.bytes)
-		mu_acct_force(a, &l->hold, l->in.size - l->hold.bytes,
-		    mu_loop_now(l->mesh->loop));
-	else
-		mu_acct_give(a, &l->hold, l->hold.bytes - l->in.size);
+	if (mu_buf_len(&l->in) == 0 && before > KEPT_BUFFER_BYTES)
+		mu_buf_clear(&l->in);
+	space = mu_buf_reserve(&l->in, READ_BYTES);
+	if (l->peer != NULL)
+		return space;
+	m->input_bytes = m->input_bytes - before + l->in.size;
+	while (m->input_bytes > INPUT_MAX_BYTES && !l->closed) {
+		largest = largest_input(m);
+		if (largest == NULL)
+			break;
+		close_refused(largest, "input");
+	}
+	count_input(m);
+	return l->closed ? NULL : space;
 }
 
 static void
@@ -367,7 +471,7 @@
 	ssize_t n;
 
 	do {
-		space = mu_buf_reserve(&l->in, READ_BYTES);
+		space = reserve_input(l);
 		n = space == NULL ? 0 : recv(l->watch.fd, space, READ_BYTES, 0);
 		if (n < 0 && (errno == EAGAIN || errno == EINTR))
 			return;
@@ -376,14 +480,11 @@
 			return;
 		}
 		l->in.len += (size_t)n;
-		count_received(l);
-		if (!decode_frames(l) || frame_too_large(l)) {
+		if (!decode_frames(l)) {
 			mu_log(MU_LOG_WARN, "mesh", "malformed_frame", NULL);
 			link_close(l);
 			return;
 		}
-		shrink_input(l);
-		count_received(l);
 	} while (n == READ_BYTES && !l->closed);
 }
 
@@ -434,34 +535,12 @@
 	l->watch.events = events;
 	l->watch.fn = on_link_event;
 	l->watch.arg = l;
-	mu_acct_holder_init(&l->hold, MU_ACCT_PEER, 0, l);
 	CDS_INIT_LIST_HEAD(&l->requests);
 	cds_list_add(&l->node, &m->links);
 	(void)mu_watch_add(m->loop, &l->watch);
 	return l;
 }
 
-/* Closes the links that have been without a name for too long, or the oldest of
- * them. */
-static void
-close_unnamed(struct mu_mesh *m, bool oldest)
-{
-	mu_us now = mu_loop_now(m->loop);
-	struct mu_mesh_link *l, *prev;
-
-	for (l = cds_list_entry(m->links.prev, struct mu_mesh_link, node);
-	     &l->node != &m->links && m->nunnamed > 0; l = prev) {
-		prev = cds_list_entry(l->node.prev, struct mu_mesh_link, node);
-		if (!is_unnamed(l))
-			continue;
-		if (!oldest && now - l->opened_at < NAME_TIMEOUT_US)
-			return; /* the others are newer */
-		link_close(l);
-		if (oldest)
-			return;
-	}
-}
-
 static void
 dial(struct mu_mesh *m, struct mu_peer *p)
 {
@@ -511,6 +590,34 @@
 	}
 }
 
+/* Closes the oldest link of a daemon that isn't listed, first of all one
+ * without a name.  Returns false if there is none. */
+static bool
+close_unlisted(struct mu_mesh *m, const char *reason)
+{
+	struct mu_mesh_link *l, *oldest = NULL;
+
+	cds_list_for_each_entry (l, &m->links, node) {
+		if (l->peer != NULL || l->listed)
+			continue;
+		if (oldest == NULL || !l->named || oldest->named)
+			oldest = l;
+	}
+	if (oldest == NULL)
+		return false;
+	close_refused(oldest, reason);
+	return true;
+}
+
+/* Stops accepting until the next heartbeat: without descriptors the listener
+ * stays readable, and the loop would spin. */
+static void
+pause_accept(struct mu_mesh *m)
+{
+	m->accept_paused = true;
+	mu_watch_set(m->loop, &m->listener, 0);
+}
+
 static void
 on_accept(void *arg, uint32_t events __attribute__((unused)))
 {
@@ -519,40 +626,41 @@
 
 	while ((fd = accept4(m->listener.fd, NULL, NULL,
 		    SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
-		if (m->nunnamed >= UNNAMED_LINKS_MAX)
-			close_unnamed(m, true);
-		if (link_new(m, fd, EPOLLIN) != NULL)
-			m->nunnamed++;
+		if (link_new(m, fd, EPOLLIN) == NULL)
+			continue;
+		m->unlisted++;
+		if (m->unlisted > UNLISTED_LINKS_MAX)
+			(void)close_unlisted(m, "links");
 	}
-	/* Out of descriptors or memory: the connection stays ready, so the loop
-	 * would spin.  The next heartbeat accepts again. */
-	if (errno != EAGAIN && errno != EINTR && errno != ECONNABORTED)
-		mu_watch_set(m->loop, &m->listener, 0);
+	if ((errno == EMFILE || errno == ENFILE) &&
+	    !close_unlisted(m, "descriptors"))
+		pause_accept(m);
+}
+
+/* Closes accepted links that have not given their name in time. */
+static void
+close_nameless(struct mu_mesh *m)
+{
+	mu_us now = mu_loop_now(m->loop);
+	struct mu_mesh_link *l, *next;
+
+	cds_list_for_each_entry_safe (l, next, &m->links, node)
+		if (l->peer == NULL && !l->named &&
+		    now - l->opened_at >= NAME_TIMEOUT_US)
+			close_refused(l, "name");
 }
 
 void
 mu_mesh_send_heartbeat(struct mu_mesh *m)
 {
-	Mu__Frame f = MU__FRAME__INIT;
-	Mu__Beat *b = malloc(sizeof(*b));
+	Mu__Beat *b = new_heartbeat(m);
 	struct mu_peer *p;
-	size_t nuses;
 
 	if (b == NULL)
 		return;
-	mu__beat__init(b);
-	b->host = strdup(m->host);
-	b->incarnation = m->conf.incarnation;
-	m->hooks.fill_heartbeat(m->hooks.arg, b);
-	f.body_case = MU__FRAME__BODY_BEAT;
-	f.beat = b;
-	nuses = b->n_uses;
-	cds_list_for_each_entry (p, &m->peers, node) {
-		b->n_uses = strcmp(p->domain, m->domain) == 0 ? nuses : 0;
-		if (p->connected && queue_frame(p->link, &f))
-			p->link->named = true;
-	}
-	b->n_uses = nuses;
+	cds_list_for_each_entry (p, &m->peers, node)
+		if (p->connected)
+			(void)queue_heartbeat(m, p, b);
 	mu__beat__free_unpacked(b, NULL);
 }
 
@@ -565,8 +673,11 @@
 	struct mu_peer *p;
 
 	mu_mesh_send_heartbeat(m);
-	close_unnamed(m, false);
-	mu_watch_set(m->loop, &m->listener, EPOLLIN);
+	close_nameless(m);
+	if (m->accept_paused) {
+		m->accept_paused = false;
+		mu_watch_set(m->loop, &m->listener, EPOLLIN);
+	}
 	cds_list_for_each_entry (p, &m->peers, node) {
 		if (p->link != NULL && p->link->connecting &&
 		    now - p->link->opened_at > CONNECT_TIMEOUT_US)
@@ -619,12 +730,6 @@
 	    "cannot listen on %s", conf->listen);
 }
 
-void
-mu_mesh_set_account(struct mu_mesh *m, struct mu_acct *a)
-{
-	m->acct = a;
-}
-
 void
 mu_mesh_free(struct mu_mesh *m)
 {
@@ -785,3 +890,10 @@
 {
 	return queue_frame(l, f);
 }
+
+void
+mu_mesh_set_account(struct mu_mesh *m, struct mu_acct *a)
+{
+	m->acct = a;
+	mu_acct_holder_init(&m->input_hold, MU_ACCT_PEER, 0, m);
+}
--- a/src/metric.h
+++ b/src/metric.h
@@ -47,6 +47,10 @@
 	X(CONNECTIONS, "endpoint_connections_total", \
 	    "connections opened to endpoints") \
 	X(OVERDUE, "answers_overdue_total", "answers overdue by far") \
+	X(ANSWERS_NO_ROOM, "answers_refused_no_room_total", \
+	    "answers without room in the account") \
+	X(LINKS_REFUSED, "links_refused_total", \
+	    "links between daemons closed over a limit") \
 	X(KEYS_REFUSED, "keys_refused_total", "requests without a valid key") \
 	X(PROGRAMS_SHED, "programs_shed_total", \
 	    "new programs refused because their service is full") \
--- a/src/oper.c
+++ b/src/oper.c
@@ -381,6 +381,7 @@
 	conf.listen = d->conf->operator_addr;
 	conf.max_body = MAX_BODY_BYTES;
 	conf.max_connections = MAX_CONNECTIONS;
+	conf.mem = d->webmem;
 	conf.arg = d;
 	conf.handle = handle_request;
 	return mu_web_open(w, &conf, e);
--- a/src/serve.c
+++ b/src/serve.c
@@ -170,7 +170,13 @@
 	bool unavailable = !mu_store_direct_available(s->store) ||
 			   mu_store_partition_suspect(
 			       s->store, s->adapter->endpoint_table, "");
+	mu_us now = mu_loop_now(s->loop);
 
+	/* A new link gets a heartbeat between two intervals. */
+	if (now - s->table_checked_at <
+	    HEARTBEAT_INTERVAL_MS * MU_US_PER_MS / 2)
+		return;
+	s->table_checked_at = now;
 	s->table_outage_heartbeats =
 	    unavailable ? s->table_outage_heartbeats + 1 : 0;
 	if (s->table_outage_heartbeats >= OUTAGE_HEARTBEATS)
--- a/src/serve.h
+++ b/src/serve.h
@@ -107,6 +107,7 @@
 	struct mu_timer stats_timer;
 	/* Heartbeats in a row with the endpoints' table unavailable. */
 	unsigned table_outage_heartbeats;
+	mu_us table_checked_at; /* 0: not yet */
 	bool row_written; /* this daemon's row is in the store */
 };
 
--- a/test/test_mesh.c
+++ b/test/test_mesh.c
@@ -1,29 +1,39 @@
-/*
- * test_mesh.c -- what anyone who connects to the port between daemons can make
- * one hold.  The clock is manual.
- */
+/* test_mesh.c -- limits of what anyone who connects to the mesh port makes a
+ * daemon hold. */
 #include <stdarg.h>
 #include <stddef.h>
 #include <setjmp.h>
 #include <stdint.h>
+#include <poll.h>
+#include <stdio.h>
 #include <cmocka.h>
 
 #include "frame.h"
 #include "mesh.h"
+#include "metric.h"
+#include "net.h"
 #include "sockkit.h"
 
-#define MIB ((size_t)1 << 20)
-#define LINKS 300 /* over the limit of links without a name */
+#define HEARTBEAT_MS 200
+#define UNLISTED_MAX 256
+#define NAME_TIMEOUT_MS 5000
+#define SMALL_FRAME ((size_t)64 << 10)
+#define LARGE_FRAME ((size_t)8 << 20)
+#define LARGE_FRAMES 10 /* 160 MiB of buffers against a limit of 24 */
+#define ROUNDS 20 /* of the loop, for bytes on their way */
 
 struct fixture {
 	struct mu_clock clock;
 	struct mu_loop *loop;
-	struct mu_acct acct;
 	struct mu_mesh *mesh;
 	char addr[MU_ADDR_LEN];
-	unsigned requests, heartbeats;
+	unsigned requests;
+	int fd[UNLISTED_MAX + 2];
+	int nfds;
 };
 
+static struct fixture fx;
+
 static void
 fill(void *arg, Mu__Beat *b)
 {
@@ -32,205 +42,287 @@
 }
 
 static void
-on_any_heartbeat(void *arg, struct mu_mesh_link *from, const Mu__Beat *b)
+on_request(void *arg, struct mu_mesh_link *from, const Mu__Frame *f)
 {
-	struct fixture *f = arg;
-
+	(void)arg;
 	(void)from;
-	(void)b;
-	f->heartbeats++;
+	(void)f;
+	fx.requests++;
 }
 
 static void
-on_request(void *arg, struct mu_mesh_link *from, const Mu__Frame *frame)
+on_reply(void *arg, const Mu__Frame *reply)
 {
-	struct fixture *f = arg;
-
-	(void)from;
-	(void)frame;
-	f->requests++;
+	(void)arg;
+	(void)reply;
 }
 
 static int
 setup(void **state)
 {
-	struct fixture *f = calloc(1, sizeof(*f));
 	struct mu_mesh_hooks hooks = {
-	    f, fill, NULL, NULL, on_any_heartbeat, on_request};
-	struct mu_mesh_conf conf = {"d1", "east", f->addr, 7, 50, 300};
-	struct mu_error e = {0};
-
-	mu_clock_manual(&f->clock, 100 * MU_US_PER_S);
-	f->loop = mu_loop_new(&f->clock);
-	mu_acct_init(&f->acct, MIB);
-	kit_unused_addr(f->addr);
-	assert_int_equal(mu_mesh_new(&f->mesh, f->loop, &conf, &hooks, &e), 0);
-	mu_mesh_set_account(f->mesh, &f->acct);
-	*state = f;
+	    .fill_heartbeat = fill, .on_request = on_request};
+	struct mu_mesh_conf conf = {
+	    "d1", "east", fx.addr, 1, HEARTBEAT_MS, 3 * HEARTBEAT_MS};
+	struct mu_error e;
+
+	(void)state;
+	memset(&fx, 0, sizeof(fx));
+	mu_clock_manual(&fx.clock, 1000 * MU_US_PER_S);
+	fx.loop = mu_loop_new(&fx.clock);
+	kit_unused_addr(fx.addr);
+	assert_int_equal(mu_mesh_new(&fx.mesh, fx.loop, &conf, &hooks, &e), 0);
 	return 0;
 }
 
 static int
 teardown(void **state)
 {
-	struct fixture *f = *state;
-
-	mu_mesh_free(f->mesh);
-	mu_loop_free(f->loop);
-	mu_acct_fini(&f->acct);
-	free(f);
+	(void)state;
+	while (fx.nfds > 0)
+		(void)close(fx.fd[--fx.nfds]);
+	mu_mesh_free(fx.mesh);
+	mu_loop_free(fx.loop);
 	return 0;
 }
 
 static void
-send_frame(struct fixture *f, struct kit_caller *c, const Mu__Frame *frame)
+run(void)
 {
-	uint8_t *p;
-	size_t n, sent = 0;
-	ssize_t k;
-	int turns;
-
-	assert_int_equal(mu_frame_encode(frame, &p, &n), 0);
-	for (turns = 0; sent < n && turns < 2000 && !c->closed; turns++) {
-		k = send(c->watch.fd, p + sent, n - sent,
-		    MSG_NOSIGNAL | MSG_DONTWAIT);
-		sent += k > 0 ? (size_t)k : 0;
-		mu_loop_once(f->loop, 1);
+	int i;
+
+	for (i = 0; i < ROUNDS; i++)
+		mu_loop_once(fx.loop, 1);
+}
+
+static int
+stranger(void)
+{
+	bool pending;
+	int *fd = &fx.fd[fx.nfds];
+
+	assert_int_equal(mu_net_connect(fx.addr, fd, &pending), 0);
+	fx.nfds++;
+	run();
+	return *fd;
+}
+
+/* Sends all bytes while the loop runs, or until the daemon closes. */
+static void
+send_bytes(int fd, const uint8_t *p, size_t n)
+{
+	ssize_t sent;
+
+	while (n > 0) {
+		sent = send(fd, p, n, MSG_NOSIGNAL | MSG_DONTWAIT);
+		if (sent < 0 && errno != EAGAIN)
+			return;
+		if (sent > 0) {
+			p += sent;
+			n -= (size_t)sent;
+		}
+		mu_loop_once(fx.loop, 0);
 	}
-	free(p);
-	kit_run_ms(f->loop, 20);
 }
 
 static void
-send_name(struct fixture *f, struct kit_caller *c, const char *host)
+send_name(int fd, const char *host)
 {
-	Mu__Frame frame = MU__FRAME__INIT;
+	Mu__Frame f = MU__FRAME__INIT;
 	Mu__Beat b = MU__BEAT__INIT;
+	uint8_t *p;
+	size_t n;
 
 	b.host = (char *)(uintptr_t)host;
-	frame.body_case = MU__FRAME__BODY_BEAT;
-	frame.beat = &b;
-	send_frame(f, c, &frame);
+	f.body_case = MU__FRAME__BODY_BEAT;
+	f.beat = &b;
+	assert_int_equal(mu_frame_encode(&f, &p, &n), 0);
+	send_bytes(fd, p, n);
+	free(p);
+	run();
 }
 
-/* A store operation of n bytes. */
+/* All of a frame of len bytes but the last byte. */
 static void
-send_large(struct fixture *f, struct kit_caller *c, size_t n)
+send_unfinished(int fd, size_t len)
 {
-	Mu__Frame frame = MU__FRAME__INIT;
-	Mu__Relay relay = MU__RELAY__INIT;
+	uint8_t *p = calloc(1, MU_FRAME_PREFIX_BYTES + len);
+	uint32_t prefix = htonl((uint32_t)len);
 
-	relay.op.data = calloc(1, n);
-	relay.op.len = n;
-	frame.body_case = MU__FRAME__BODY_RELAY;
-	frame.relay = &relay;
-	send_frame(f, c, &frame);
-	free(relay.op.data);
+	if (p == NULL)
+		abort();
+	memcpy(p, &prefix, sizeof(prefix));
+	send_bytes(fd, p, MU_FRAME_PREFIX_BYTES + len - 1);
+	free(p);
+	run();
+}
+
+static bool
+is_closed(int fd)
+{
+	char byte;
+	ssize_t n = recv(fd, &byte, 1, MSG_DONTWAIT);
+
+	return n == 0 || (n < 0 && errno != EAGAIN);
 }
 
 static void
-test_large_frame_needs_a_name(void **state)
+advance_ms(unsigned ms)
 {
-	struct fixture *f = *state;
-	struct kit_caller *c = kit_caller_open(f->loop, f->addr, "");
-
-	send_large(f, c, 60000);
-	assert_int_equal(f->requests, 1);
-	send_large(f, c, 70000);
-	assert_true(kit_until(f->loop, 1000, c->closed));
-	kit_caller_free(c);
-	c = kit_caller_open(f->loop, f->addr, "");
-	send_name(f, c, "");
-	send_large(f, c, 70000);
-	assert_true(kit_until(f->loop, 1000, c->closed));
-	kit_caller_free(c);
-	assert_int_equal(f->requests, 1);
-	c = kit_caller_open(f->loop, f->addr, "");
-	send_name(f, c, "d2");
-	send_large(f, c, 5 * MIB);
-	assert_int_equal(f->requests, 2);
-	assert_false(c->closed);
-	kit_caller_free(c);
-}
-
-/* Guards against frames that stop short of their end. */
+	while (ms > 0) {
+		mu_clock_advance(&fx.clock, HEARTBEAT_MS * MU_US_PER_MS);
+		mu_loop_once(fx.loop, 0);
+		mu_loop_once(fx.loop, 0);
+		ms -= HEARTBEAT_MS;
+	}
+}
+
+/* Connections that say nothing must not stay. */
 static void
-test_incomplete_frames_count(void **state)
+test_link_without_name_is_closed(void **state)
 {
-	static const uint8_t prefix[] = {0, 0, 0xf0, 0};
-	static char body[50000];
-	struct fixture *f = *state;
-	struct kit_caller *c = kit_caller_open(f->loop, f->addr, "");
+	int silent, named;
 
-	(void)!write(c->watch.fd, prefix, sizeof(prefix));
-	(void)!write(c->watch.fd, body, sizeof(body));
-	assert_true(kit_until(
-	    f->loop, 1000, f->acct.used[MU_ACCT_PEER] >= sizeof(body)));
-	assert_in_range(f->acct.used[MU_ACCT_PEER], 50000, 131072);
-	kit_caller_free(c);
-	assert_true(kit_until(f->loop, 1000, f->acct.used[MU_ACCT_PEER] == 0));
+	(void)state;
+	silent = stranger();
+	named = stranger();
+	send_name(named, "d2");
+	advance_ms(NAME_TIMEOUT_MS - HEARTBEAT_MS);
+	assert_false(is_closed(silent));
+	advance_ms(2 * HEARTBEAT_MS);
+	assert_true(is_closed(silent));
+	assert_false(is_closed(named));
 }
 
+/* A frame of 16 MiB must not be received from a link without a name. */
 static void
-test_link_without_a_name_is_closed(void **state)
-{
-	struct fixture *f = *state;
-	struct kit_caller *c = kit_caller_open(f->loop, f->addr, "");
-	struct kit_caller *d = kit_caller_open(f->loop, f->addr, "");
-
-	send_name(f, d, "d2");
-	assert_int_equal(f->heartbeats, 1);
-	mu_clock_advance(&f->clock, 4900 * MU_US_PER_MS);
-	kit_run_ms(f->loop, 20);
-	assert_false(c->closed);
-	mu_clock_advance(&f->clock, 200 * MU_US_PER_MS);
-	kit_run_ms(f->loop, 20);
-	assert_true(kit_until(f->loop, 1000, c->closed));
-	mu_clock_advance(&f->clock, 60 * MU_US_PER_S);
-	kit_run_ms(f->loop, 20);
-	assert_false(d->closed);
-	kit_caller_free(c);
-	kit_caller_free(d);
-}
-
-/* The oldest goes: the others may still be about to tell their name. */
+test_large_frame_needs_a_name(void **state)
+{
+	int small, large, named;
+
+	(void)state;
+	small = stranger();
+	send_unfinished(small, SMALL_FRAME);
+	assert_false(is_closed(small));
+	large = stranger();
+	send_unfinished(large, SMALL_FRAME + 1);
+	assert_true(is_closed(large));
+	named = stranger();
+	send_name(named, "d2");
+	send_unfinished(named, SMALL_FRAME + 1);
+	assert_false(is_closed(named));
+}
+
+/* The sum of unfinished frames must be limited, and a listed daemon's must be
+ * received beside those of strangers. */
 static void
-test_number_of_links_without_a_name(void **state)
+test_sum_of_unfinished_frames(void **state)
 {
-	struct fixture *f = *state;
-	struct kit_caller *c[LINKS], *named;
-	unsigned i, open = 0;
+	Mu__DaemonRow row = MU__DAEMON_ROW__INIT;
+	char unused[MU_ADDR_LEN], host[] = "d2", domain[] = "east";
+	int fd[LARGE_FRAMES], i, closed = 0, listed;
 
-	named = kit_caller_open(f->loop, f->addr, "");
-	send_name(f, named, "d2");
-	for (i = 0; i < LINKS; i++) {
-		c[i] = kit_caller_open(f->loop, f->addr, "");
-		mu_loop_once(f->loop, 1);
+	(void)state;
+	kit_unused_addr(unused);
+	row.host = host;
+	row.domain = domain;
+	row.mesh_addr = unused;
+	row.incarnation = 5;
+	mu_mesh_update_peer(fx.mesh, &row);
+	listed = stranger();
+	send_name(listed, "d2");
+	send_unfinished(listed, LARGE_FRAME);
+	for (i = 0; i < LARGE_FRAMES; i++) {
+		fd[i] = stranger();
+		send_name(fd[i], "stranger");
+		send_unfinished(fd[i], LARGE_FRAME);
 	}
-	kit_run_ms(f->loop, 50);
-	for (i = 0; i < LINKS; i++)
-		open += !c[i]->closed;
-	assert_int_equal(open, 256);
-	assert_true(c[0]->closed);
-	assert_false(c[LINKS - 1]->closed);
-	assert_false(named->closed);
-	send_name(f, c[LINKS - 1], "d3");
-	assert_int_equal(f->heartbeats, 2);
-	kit_caller_free(named);
-	for (i = 0; i < LINKS; i++)
-		kit_caller_free(c[i]);
+	for (i = 0; i < LARGE_FRAMES; i++)
+		closed += is_closed(fd[i]);
+	/* Each buffer takes 16 MiB, so that only the listed one fits. */
+	assert_int_equal(closed, LARGE_FRAMES);
+	assert_false(is_closed(listed));
+}
+
+/* Strangers must not take all descriptors. */
+static void
+test_number_of_unlisted_links(void **state)
+{
+	uint64_t before = mu_counter_value(MU_M_LINKS_REFUSED);
+	int i, first_named, first;
+
+	(void)state;
+	first_named = stranger();
+	send_name(first_named, "d2");
+	first = stranger();
+	for (i = 2; i < UNLISTED_MAX; i++)
+		(void)stranger();
+	assert_false(is_closed(first));
+	(void)stranger();
+	assert_true(is_closed(first));
+	assert_false(is_closed(first_named));
+	assert_int_equal(mu_counter_value(MU_M_LINKS_REFUSED), before + 1);
+}
+
+/* A large request that is the first on a link must not be taken for a
+ * stranger's frame. */
+static void
+test_name_precedes_the_first_request(void **state)
+{
+	Mu__DaemonRow row = MU__DAEMON_ROW__INIT;
+	char host[] = "d2", domain[] = "west", addr[MU_ADDR_LEN];
+	Mu__Frame f = MU__FRAME__INIT, *first = NULL;
+	Mu__Begin b = MU__BEGIN__INIT;
+	static uint8_t buf[65536];
+	struct mu_peer *p;
+	int listener, fd;
+	size_t used = 0;
+	ssize_t n;
+
+	(void)state;
+	listener = kit_listen(addr);
+	row.host = host;
+	row.domain = domain;
+	row.mesh_addr = addr;
+	row.incarnation = 5;
+	mu_mesh_update_peer(fx.mesh, &row);
+	p = mu_mesh_find_peer(fx.mesh, "d2");
+	assert_non_null(p);
+	assert_non_null(p->link);
+	f.body_case = MU__FRAME__BODY_BEGIN;
+	f.begin = &b;
+	assert_true(mu_mesh_request(fx.mesh, p, &f,
+	    mu_loop_now(fx.loop) + MU_US_PER_S, on_reply, NULL));
+	run();
+	fd = accept(listener, NULL, NULL);
+	assert_true(fd >= 0);
+	run();
+	n = recv(fd, buf, sizeof(buf), MSG_DONTWAIT);
+	assert_true(n > 0);
+	assert_int_equal(mu_frame_decode(buf, (size_t)n, &used, &first), 0);
+	assert_non_null(first);
+	assert_int_equal(first->body_case, MU__FRAME__BODY_BEAT);
+	assert_string_equal(first->beat->host, "d1");
+	mu_frame_free(first);
+	assert_int_equal(
+	    mu_frame_decode(buf + used, (size_t)n - used, &used, &first), 0);
+	assert_non_null(first);
+	assert_int_equal(first->body_case, MU__FRAME__BODY_BEGIN);
+	mu_frame_free(first);
+	(void)close(fd);
+	(void)close(listener);
 }
 
 int
 main(void)
 {
+#define T(f) cmocka_unit_test_setup_teardown(f, setup, teardown)
 	const struct CMUnitTest tests[] = {
-#define T(t) cmocka_unit_test_setup_teardown(t, setup, teardown)
+	    T(test_link_without_name_is_closed),
 	    T(test_large_frame_needs_a_name),
-	    T(test_incomplete_frames_count),
-	    T(test_link_without_a_name_is_closed),
-	    T(test_number_of_links_without_a_name),
-#undef T
+	    T(test_sum_of_unfinished_frames),
+	    T(test_number_of_unlisted_links),
+	    T(test_name_precedes_the_first_request),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
