Serveconf: bounds of a million in full in error messages; test of shed_priority

Cause: %g prints six digits, so a value of 1000001 was refused with "1e+06; expected a number 0 to 1e+06". Change: %.12g. The new test guards against shedding that is on by default, bounds that are not enforced, and a message without key or bounds; the page of settings is checked for the new key. Mutants that it fails on: default 2, maximum 10, %g.

--- a/src/serveconf.c
+++ b/src/serveconf.c
@@ -142,7 +142,7 @@
 	if (n >= lo && n <= hi)
 		return 0;
 	return mu_yaml_fail(
-	    e, field, "%g; expected a number %g to %g", n, lo, hi);
+	    e, field, "%.12g; expected a number %.12g to %.12g", n, lo, hi);
 }
 
 /* Reads an optional fraction. */
--- a/test/test_serveconf.c
+++ b/test/test_serveconf.c
@@ -77,6 +77,42 @@
 	}
 }
 
+/* Guards against shedding that is on by default, and against a setting that is
+ * out of bounds and taken, or refused without a word on what was expected. */
+static void
+test_shed_priority(void **state)
+{
+	static const struct {
+		const char *yaml;
+		uint32_t want;
+	} good[] = {{GOOD, 0}, {GOOD "shed_priority: 0\n", 0},
+	    {GOOD "shed_priority: 2\n", 2}, {GOOD "shed_priority: 2.0\n", 2},
+	    {GOOD "shed_priority: 1000000\n", 1000000}};
+	static const char *const bad[] = {GOOD "shed_priority: -1\n",
+	    GOOD "shed_priority: 1000001\n", GOOD "shed_priority: low\n",
+	    GOOD "shed_priority: nan\n"};
+	struct mu_serveconf *c = NULL;
+	struct mu_error e;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(good) / sizeof(*good); i++) {
+		memset(&e, 0, sizeof(e));
+		assert_int_equal(mu_serveconf_parse(good[i].yaml,
+				     strlen(good[i].yaml), &c, &e),
+		    0);
+		assert_int_equal(c->shed_priority, good[i].want);
+		mu_serveconf_free(c);
+		c = NULL;
+	}
+	for (i = 0; i < sizeof(bad) / sizeof(*bad); i++) {
+		memset(&e, 0, sizeof(e));
+		assert_int_equal(parse(bad[i], &e), MU_E_CONFIG_INVALID);
+		assert_non_null(strstr(e.message, "shed_priority"));
+		assert_non_null(strstr(e.message, "0 to 1000000"));
+	}
+}
+
 /* Guards against a daemon that doesn't start since the platform renders a bound
  * with a decimal fraction. */
 static void
@@ -143,8 +179,8 @@
 	    "caller_addr", "ready_addr", "directory_addr", "mesh_addr",
 	    "metrics_addr", "store_addr", "stop_ms", "address_ttl_ms",
 	    "config_fresh_ms", "key_trust_ms", "limit_window_ms",
-	    "limit_overage", "limit_slack", "log_level", "stop_s",
-	    "limit_window_s"};
+	    "limit_overage", "limit_slack", "shed_priority", "log_level",
+	    "stop_s", "limit_window_s"};
 	char page[8192], row[64];
 	FILE *f = fopen("docs/serving-settings.md", "re");
 	size_t i, n;
@@ -166,6 +202,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_good),
 	    cmocka_unit_test(test_bad),
+	    cmocka_unit_test(test_shed_priority),
 	    cmocka_unit_test(test_numbers_with_a_fraction),
 	    cmocka_unit_test(test_template_takes_bounds_as_they_are),
 	    cmocka_unit_test(test_page_names_every_setting),
