Test: the least urgent route of a service

Guards mu_routes_index() against counting routes that start no programs, other services' routes, or the last route instead of the least urgent one.

--- a/test/test_adapter.c
+++ b/test/test_adapter.c
@@ -150,6 +150,44 @@
 	mu_routes_unref(t);
 }
 
+/* Guards against services that are taken to have less urgent programs, or not,
+ * by routes that start no programs, by other services' routes, or by the last
+ * route instead of the least urgent one. */
+static void
+test_least_urgent_route_of_a_service(void **state)
+{
+	static const char text[] =
+	    "{\"version\":7,\"routes\":["
+	    "{\"name\":\"a\",\"host\":\"h\",\"path_prefix\":\"/a/\","
+	    "\"type\":\"streaming\",\"service\":\"x\",\"priority\":3},"
+	    "{\"name\":\"b\",\"host\":\"h\",\"path_prefix\":\"/b/\","
+	    "\"type\":\"streaming\",\"priority\":2,\"backends\":["
+	    "{\"service\":\"x\",\"weight\":90},"
+	    "{\"service\":\"y\",\"weight\":10},"
+	    "{\"service\":\"undeclared\",\"weight\":10}]},"
+	    "{\"name\":\"c\",\"host\":\"h\",\"path_prefix\":\"/c/\","
+	    "\"type\":\"safe\",\"service\":\"y\",\"priority\":9},"
+	    "{\"name\":\"d\",\"host\":\"h\",\"path_prefix\":\"/d/\","
+	    "\"type\":\"unsafe\",\"service\":\"z\",\"priority\":9},"
+	    "{\"name\":\"e\",\"host\":\"h\",\"path_prefix\":\"/e/\","
+	    "\"type\":\"streaming\",\"service\":\"w\"}],"
+	    "\"services\":[{\"name\":\"x\"},{\"name\":\"y\"},{\"name\":\"z\"},"
+	    "{\"name\":\"w\"},{\"name\":\"unused\"}]}";
+	Mu__StoreRow r = make_row("config", text);
+	struct mu_error e = {0};
+	struct mu_routes *t = pf_read_routes(&r, &e);
+
+	(void)state;
+	assert_non_null(t);
+	mu_routes_index(t);
+	assert_int_equal(mu_routes_service(t, "x")->least_urgent, 3);
+	assert_int_equal(mu_routes_service(t, "y")->least_urgent, 2);
+	assert_int_equal(mu_routes_service(t, "z")->least_urgent, 0);
+	assert_int_equal(mu_routes_service(t, "w")->least_urgent, 0);
+	assert_int_equal(mu_routes_service(t, "unused")->least_urgent, 0);
+	mu_routes_unref(t);
+}
+
 static void
 test_unknown_kind_is_refused_whole(void **state)
 {
@@ -277,6 +315,7 @@
 	    cmocka_unit_test(test_endpoint_with_a_line_end_in_its_name),
 	    cmocka_unit_test(test_torn_rows),
 	    cmocka_unit_test(test_routes),
+	    cmocka_unit_test(test_least_urgent_route_of_a_service),
 	    cmocka_unit_test(test_unknown_kind_is_refused_whole),
 	    cmocka_unit_test(test_customers),
 	    cmocka_unit_test(test_invalid_customers),
