Test: less urgent programs are refused first, through the serving path

A new program of the least urgent route gets 503 with Retry-After and is not sent, while started programs and new urgent ones are served; a service without such a route keeps its limit. A configuration switches the estimate both ways.

--- a/test/test_call.c
+++ b/test/test_call.c
@@ -182,6 +182,16 @@
 		f->serve.targets.by_name.count == f->nends));
 }
 
+/* Puts a configuration in force. */
+static void
+configure(struct fixture *f, const char *text, uint64_t version)
+{
+	f->mem->ver++;
+	mem_put(f->mem, "op", "", "config", text, strlen(text));
+	assert_true(kit_until(f->loop, 3000,
+	    f->serve.routes != NULL && f->serve.routes->version == version));
+}
+
 /* Until the daemon knows all that started with it, and lends. */
 static void
 wait_until_lending(struct fixture *f)
@@ -532,6 +542,109 @@
 	assert_int_equal(i, (3000 - 289) / 34);
 }
 
+/* Routes of the service llm, of which /bulk/ is less urgent, and of the service
+ * own, whose routes are all alike. */
+#define TWO_CLASSES(version) \
+	"{\"version\":" version ",\"routes\":[" \
+	"{\"name\":\"chat\",\"host\":\"h\",\"path_prefix\":\"/chat/\"," \
+	"\"type\":\"streaming\",\"timeout_ms\":1500,\"service\":\"llm\"," \
+	"\"priority\":1,\"keeps_history\":true,\"retention_s\":60}," \
+	"{\"name\":\"bulk\",\"host\":\"h\",\"path_prefix\":\"/bulk/\"," \
+	"\"type\":\"streaming\",\"timeout_ms\":1500,\"service\":\"llm\"," \
+	"\"priority\":2,\"keeps_history\":true,\"retention_s\":60}," \
+	"{\"name\":\"own\",\"host\":\"h\",\"path_prefix\":\"/own/\"," \
+	"\"type\":\"streaming\",\"timeout_ms\":1500,\"service\":\"own\"," \
+	"\"priority\":1}]," \
+	"\"services\":[{\"name\":\"llm\",\"engine\":{\"chunk_tokens\":17}}," \
+	"{\"name\":\"own\",\"engine\":{\"chunk_tokens\":17}}]}"
+#define PROGRAM_TURN(path, id, program, more) \
+	"POST " path " HTTP/1.1\r\nHost: h\r\nRequest-Id: " id \
+	"\r\nProgram-Id: " program "\r\nToken-Budget: 3000\r\n" \
+	"Token-Usage: 10,289\r\n" more "Content-Length: 2\r\n\r\n" id
+
+/* Sets a peer's requests at both endpoints. */
+static void
+set_peer_load(struct fixture *f, uint32_t before, uint32_t now)
+{
+	mu_targets_peer_report(&f->serve.targets, "i-0", before, now, 0);
+	mu_targets_peer_report(&f->serve.targets, "i-1", before, now, 0);
+}
+
+/* Sends a new program, which must be refused without having been sent. */
+static void
+expect_shed(struct fixture *f, const char *request, struct kit_endpoint *e)
+{
+	unsigned sent = e->requests;
+	struct kit_caller *c = call(f, request, 2000);
+	const char *got = kit_caller_received(c);
+
+	assert_non_null(strstr(got, "HTTP/1.1 503"));
+	assert_non_null(strstr(got, "no_place_for_new_programs"));
+	assert_non_null(strstr(got, "Retry-After"));
+	assert_int_equal(e->requests, sent);
+	kit_caller_free(c);
+}
+
+/* Guards against a less urgent program that starts in a loaded service, a
+ * started or a more urgent one that is refused there, and a change for services
+ * without less urgent routes.  The load is reported by a peer, since that from
+ * an answer changes with its age. */
+static void
+test_less_urgent_programs_are_refused_first(void **state)
+{
+	static const struct kit_step s[] = {
+	    {CHUNKED PIECE("1") PIECE("2") LAST_CHUNK, false, false}};
+	struct fixture *f = *state;
+	struct kit_endpoint *llm = add_endpoint(f, "llm", s, 1);
+	struct kit_endpoint *own = add_endpoint(f, "own", s, 1);
+
+	f->serve.conf.shed_priority = 2;
+	wait_until_lending(f);
+	configure(f, TWO_CLASSES("4"), 4);
+	expect(
+	    f, PROGRAM_TURN("/bulk/1", "a1", "pa", ""), 2000, "\r\n0\r\n\r\n");
+	set_peer_load(f, 0, 5); /* 0.625 per slot */
+	expect_shed(f, PROGRAM_TURN("/bulk/1", "b1", "pb", ""), llm);
+	expect(f, PROGRAM_TURN("/bulk/1", "a2", "pa", "Previous-Turn: a1\r\n"),
+	    2000, "\r\n0\r\n\r\n");
+	expect(
+	    f, PROGRAM_TURN("/bulk/1", "a3", "pa", ""), 2000, "\r\n0\r\n\r\n");
+	expect(
+	    f, PROGRAM_TURN("/chat/1", "c1", "pc", ""), 2000, "\r\n0\r\n\r\n");
+	expect(
+	    f, PROGRAM_TURN("/own/1", "o1", "po", ""), 2000, "\r\n0\r\n\r\n");
+	set_peer_load(f, 5, 7); /* 0.875 per slot */
+	expect(
+	    f, PROGRAM_TURN("/chat/1", "d1", "pd", ""), 2000, "\r\n0\r\n\r\n");
+	expect_shed(f, PROGRAM_TURN("/own/1", "q1", "pq", ""), own);
+	expect(
+	    f, PROGRAM_TURN("/own/1", "o2", "po", ""), 2000, "\r\n0\r\n\r\n");
+	set_peer_load(f, 7, 11); /* 1.375 per slot */
+	expect_shed(f, PROGRAM_TURN("/chat/1", "e1", "pe", ""), llm);
+	expect(
+	    f, PROGRAM_TURN("/bulk/1", "a4", "pa", ""), 2000, "\r\n0\r\n\r\n");
+}
+
+/* Guards against a service that keeps its old behavior after a configuration
+ * adds or removes its less urgent routes. */
+static void
+test_configuration_switches_the_estimate(void **state)
+{
+	struct fixture *f = *state;
+	const struct mu_group *llm = mu_targets_group(&f->serve.targets, "llm"),
+			      *own = mu_targets_group(&f->serve.targets, "own");
+
+	f->serve.conf.shed_priority = 2;
+	configure(f, TWO_CLASSES("4"), 4);
+	assert_int_equal(llm->load_estimate, MU_LOADEST_MEAN);
+	assert_int_equal(own->load_estimate, MU_LOADEST_REPORT);
+	configure(f, CUSTOMERS("5", "\"k1\""), 5);
+	assert_int_equal(llm->load_estimate, MU_LOADEST_REPORT);
+	f->serve.conf.shed_priority = 0;
+	configure(f, TWO_CLASSES("6"), 6);
+	assert_int_equal(llm->load_estimate, MU_LOADEST_REPORT);
+}
+
 /* The caller gets events at once, but the end only after the commit. */
 static void
 test_end_waits_for_the_commit(void **state)
@@ -1498,16 +1611,6 @@
 	(void)close(saved);
 }
 
-/* Puts a configuration in force. */
-static void
-configure(struct fixture *f, const char *text, uint64_t version)
-{
-	f->mem->ver++;
-	mem_put(f->mem, "op", "", "config", text, strlen(text));
-	assert_true(kit_until(f->loop, 3000,
-	    f->serve.routes != NULL && f->serve.routes->version == version));
-}
-
 #define KEYED(path, id, key) \
 	"GET " path " HTTP/1.1\r\nHost: h\r\nRequest-Id: " id \
 	"\r\nDeadline-Ms: 1200\r\nTenant: root\r\nX-Api-Key: " key "\r\n\r\n"
@@ -2025,6 +2128,8 @@
 	    T(test_timeout_after_sending_is_no_promise),
 	    T(test_unsigned_success_is_a_failure),
 	    T(test_turns_continue_and_keep_the_budget),
+	    T(test_less_urgent_programs_are_refused_first),
+	    T(test_configuration_switches_the_estimate),
 	    T(test_end_waits_for_the_commit),
 	    T(test_no_commit_no_end),
 	    T(test_stream_is_resumed),
