--- a/src/loadest.c
+++ b/src/loadest.c
@@ -7,7 +7,8 @@
  * endpoints that a daemon has not heard from appear idle: it moves programs
  * away from their cached prompts to them, as all daemons do at once, and admits
  * new programs while every endpoint is full.  An old report therefore gives way
- * to the mean of what the service's endpoints reported lately.
+ * to the mean of what the service's endpoints reported lately.  The mean fades
+ * while none reports.
  */
 #include <math.h>
 
@@ -16,6 +17,9 @@
 #define REPORT_DECAY_US 1e6 /* duration of a few typical calls */
 /* Short enough to follow a burst, long enough for some ten reports. */
 #define MEAN_DECAY_US 5e5
+/* A daemon that takes its endpoints for full sends nothing and hears nothing;
+ * the mean must not outlast a burst. */
+#define SILENCE_DECAY_US 2e6
 
 void
 mu_loadest_add(
@@ -42,7 +46,8 @@
 	case MU_LOADEST_REPORT:
 		break;
 	case MU_LOADEST_MEAN:
-		mean = m->per_slot * slots;
+		mean = m->per_slot * slots *
+		       exp(-(double)(now - m->updated_at) / SILENCE_DECAY_US);
 		break;
 	}
 	return weight * r->others + (1 - weight) * mean;
