--- a/src/call_private.h
+++ b/src/call_private.h
@@ -46,7 +46,7 @@
 	const char *program_id;
 	const char *previous_id;
 	enum mu_shed_class shed_class;
-	double utilization; /* of the service, when a program may start */
+	double utilization; /* of the service when its program was to start */
 	struct mu_queue_rank queue_rank;
 	enum mu_call_state state;
 	bool closed; /* mu_call_closed() was called */
--- a/src/routes.h
+++ b/src/routes.h
@@ -57,7 +57,8 @@
 	struct mu_customers *customers; /* NULL: callers need no key */
 };
 
-/* Sets what services have from their routes; to be called once. */
+/* Sets the fields of services that derive from their routes.  Called once,
+ * before the table is shared. */
 void mu_routes_index(struct mu_routes *r);
 struct mu_routes *mu_routes_ref(struct mu_routes *r);
 void mu_routes_unref(struct mu_routes *r); /* NULL is allowed */
--- a/src/shed.c
+++ b/src/shed.c
@@ -20,7 +20,7 @@
  * are given 1.3 to 1.5 times their time on idle endpoints. */
 #define LAST_UTILIZATION_MAX 1.3
 /* Where no programs are less urgent, the load is estimated from old reports
- * (loadest.c) and is higher than known. */
+ * (loadest.c) and is higher than the estimate. */
 #define DEFAULT_UTILIZATION_MAX 0.75
 
 enum mu_shed_class
