--- a/src/shed.c
+++ b/src/shed.c
@@ -21,7 +21,7 @@
  * are given 1.3 to 1.5 times their time on idle endpoints. */
 #define LAST_UTILIZATION_MAX 1.3
 /* Where no programs are less urgent, the load is estimated from old reports
- * (loadest.c) and is higher than known. */
+ * (loadest.c) and is higher than the estimate. */
 #define DEFAULT_UTILIZATION_MAX 0.75
 
 /* Some turns end within this time, and a caller can retry several times. */
