Test: a turn that continues another one is never refused for load

The mutant that asks for the load also when a turn continues another one had passed; its program was known as started by its budget. A turn of a program with a new budget that continues a served turn is refused by that mutant.

--- a/test/test_call.c
+++ b/test/test_call.c
@@ -613,6 +613,9 @@
 	    f, PROGRAM_TURN("/chat/1", "c1", "pc", ""), 2000, "\r\n0\r\n\r\n");
 	expect(
 	    f, PROGRAM_TURN("/own/1", "o1", "po", ""), 2000, "\r\n0\r\n\r\n");
+	/* Its budget is new, but it continues a turn that was served. */
+	expect(f, PROGRAM_TURN("/bulk/1", "a5", "pz", "Previous-Turn: a1\r\n"),
+	    2000, "\r\n0\r\n\r\n");
 	set_peer_load(f, 5, 7); /* 0.875 per slot */
 	expect(
 	    f, PROGRAM_TURN("/chat/1", "d1", "pd", ""), 2000, "\r\n0\r\n\r\n");
