--- a/src/loadest.c
+++ b/src/loadest.c
@@ -20,17 +20,21 @@
 /* A daemon that takes its endpoints for full sends nothing and hears nothing;
  * the mean must not outlast a burst. */
 #define SILENCE_DECAY_US 2e6
+/* Of a report in the mean: one odd report must not close the service. */
+#define PER_SLOT_MAX 4.0
 
 void
 mu_loadest_add(
     struct mu_loadest_mean *m, double others, uint32_t slots, mu_us now)
 {
-	double weight = 1;
+	double weight = 1, per_slot = others / slots;
 
+	if (per_slot > PER_SLOT_MAX)
+		per_slot = PER_SLOT_MAX;
 	if (m->updated_at != 0)
 		weight =
 		    1 - exp(-(double)(now - m->updated_at) / MEAN_DECAY_US);
-	m->per_slot += (others / slots - m->per_slot) * weight;
+	m->per_slot += (per_slot - m->per_slot) * weight;
 	m->updated_at = now;
 }
 
--- a/src/routes.c
+++ b/src/routes.c
@@ -80,7 +80,8 @@
 
 	for (i = 0; i < t->nshares; i++)
 		for (k = 0; k < r->nservices; k++)
-			if (strcmp(r->service[k].name, t->shares[i].service) ==
+			if (t->shares[i].weight > 0 &&
+			    strcmp(r->service[k].name, t->shares[i].service) ==
 				0 &&
 			    t->priority > r->service[k].least_urgent)
 				r->service[k].least_urgent = t->priority;
--- a/src/serve.c
+++ b/src/serve.c
@@ -61,17 +61,21 @@
 choose_load_estimates(struct mu_serve *s)
 {
 	const struct mu_service *v;
+	struct mu_hnode *n;
 	struct mu_group *g;
 	size_t i;
 
+	for (i = 0; i < s->targets.groups.nbuckets; i++)
+		for (n = s->targets.groups.bucket[i]; n != NULL; n = n->next) {
+			g = MU_CONTAINER_OF(n, struct mu_group, node);
+			g->load_estimate = MU_LOADEST_REPORT;
+		}
 	for (i = 0; i < s->routes->nservices; i++) {
 		v = &s->routes->service[i];
 		g = mu_targets_group(&s->targets, v->name);
-		g->load_estimate =
-		    mu_shed_class(s->conf.shed_priority, v->least_urgent,
-			v->least_urgent) == MU_SHED_DEFAULT
-			? MU_LOADEST_REPORT
-			: MU_LOADEST_MEAN;
+		if (mu_shed_class(s->conf.shed_priority, v->least_urgent,
+			v->least_urgent) != MU_SHED_DEFAULT)
+			g->load_estimate = MU_LOADEST_MEAN;
 	}
 }
 
--- a/src/targets.c
+++ b/src/targets.c
@@ -488,10 +488,11 @@
 
 	x->load.others = all > x->sent ? all - x->sent : 0;
 	x->load.at = now;
-	if (slots == 0)
-		return;
-	x->info.slots = slots;
-	mu_loadest_add(&x->group->mean_load, x->load.others, slots, now);
+	if (slots > 0)
+		x->info.slots = slots;
+	if (x->info.slots > 0)
+		mu_loadest_add(
+		    &x->group->mean_load, x->load.others, x->info.slots, now);
 }
 
 void
--- a/test/test_loadest.c
+++ b/test/test_loadest.c
@@ -102,6 +102,20 @@
 			START + 20 * second) < 0.01);
 }
 
+/* Guards against one odd report, of an endpoint that says it has thousands of
+ * requests, which would close the service for all programs. */
+static void
+test_odd_report_is_limited(void **state)
+{
+	struct mu_loadest_mean m = {0};
+
+	(void)state;
+	mu_loadest_add(&m, 4294967295.0, SLOTS, START);
+	assert_float_equal(m.per_slot, 4, 0.001);
+	(void)report_for(&m, 0.25, START + REPORT_INTERVAL, 2000 * MS);
+	assert_true(m.per_slot < 0.5);
+}
+
 /* Guards against a load that is invented before the first report. */
 static void
 test_no_report_at_all(void **state)
@@ -208,6 +222,7 @@
 	    cmocka_unit_test(test_report_loses_weight_with_age),
 	    cmocka_unit_test(test_endpoint_not_heard_from),
 	    cmocka_unit_test(test_mean_fades_in_silence),
+	    cmocka_unit_test(test_odd_report_is_limited),
 	    cmocka_unit_test(test_no_report_at_all),
 	    cmocka_unit_test(test_first_report_counts_in_full),
 	    cmocka_unit_test(test_mean_follows_a_burst),
