--- a/src/inbound.c
+++ b/src/inbound.c
@@ -318,6 +318,26 @@
 	return rc == MHD_YES ? rc : queue_failure(r);
 }
 
+/* Whether the request's head takes memory that its answer may need. */
+static bool
+head_too_large(struct mu_in_req *r)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+	    r->connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+	const char *cookies = mu_in_header(r, MHD_HTTP_HEADER_COOKIE);
+	int fields = MHD_get_connection_values(r->connection,
+	    MHD_HEADER_KIND | MHD_FOOTER_KIND | MHD_COOKIE_KIND |
+		MHD_GET_ARGUMENT_KIND,
+	    NULL, NULL);
+	size_t n = (size_t)fields * FIELD_RECORD_BYTES;
+
+	if (info != NULL)
+		n += info->header_size;
+	if (cookies != NULL) /* the library keeps a copy */
+		n += strlen(cookies);
+	return n > MAX_REQUEST_HEAD_BYTES;
+}
+
 /* Answers a request before its body; the library reads nothing after it. */
 static enum MHD_Result
 refuse_at_head(struct mu_in_req *r, int status, const char *error)
@@ -356,30 +376,15 @@
 	    mu_in_header(r, MHD_HTTP_HEADER_CONTENT_LENGTH) != NULL ||
 	    mu_in_header(r, MHD_HTTP_HEADER_TRANSFER_ENCODING) != NULL;
 	mu_in_conn_receiving(r->in, r->conn);
+	/* The library would read the body with what is left of the memory, down
+	 * to two bytes at a time. */
+	if (r->in->conf.strict && r->has_body && head_too_large(r))
+		return refuse_at_head(r,
+		    MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE, "head too large");
 	status = mu_in_body_begin(r, &error);
 	return status != 0 ? refuse_at_head(r, status, error) : MHD_YES;
 }
 
-/* Whether the request's head takes memory that its answer may need. */
-static bool
-head_too_large(struct mu_in_req *r)
-{
-	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
-	    r->connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
-	const char *cookies = mu_in_header(r, MHD_HTTP_HEADER_COOKIE);
-	int fields = MHD_get_connection_values(r->connection,
-	    MHD_HEADER_KIND | MHD_FOOTER_KIND | MHD_COOKIE_KIND |
-		MHD_GET_ARGUMENT_KIND,
-	    NULL, NULL);
-	size_t n = (size_t)fields * FIELD_RECORD_BYTES;
-
-	if (info != NULL)
-		n += info->header_size;
-	if (cookies != NULL) /* the library keeps a copy */
-		n += strlen(cookies);
-	return n > MAX_REQUEST_HEAD_BYTES;
-}
-
 static void
 dispatch(struct mu_in_req *r)
 {
--- a/test/test_inbody.c
+++ b/test/test_inbody.c
@@ -164,7 +164,7 @@
 static struct kit_caller *
 begin(struct fixture *f, const char *path, const char *framing, size_t n)
 {
-	char head[256];
+	static char head[60000];
 	struct kit_caller *c;
 
 	(void)snprintf(head, sizeof(head),
@@ -230,6 +230,23 @@
 	expect_answer(f, c);
 }
 
+/* Guards against a body that is read two bytes at a time, as the library does
+ * when the head has taken its memory. */
+static void
+test_long_head_with_a_body_is_refused_at_once(void **state)
+{
+	struct fixture *f = *state;
+	static char framing[50000];
+
+	(void)snprintf(framing, sizeof(framing),
+	    "X-Long: %040000d\r\nContent-Length: 100000\r\n", 0);
+	expect_end(f, begin(f, "/now", framing, 0), "HTTP/1.1 431 ");
+	assert_int_equal(f->requests, 0);
+	(void)snprintf(framing, sizeof(framing),
+	    "X-Long: %016000d\r\nContent-Length: 100000\r\n", 0);
+	expect_answer(f, begin(f, "/now", framing, 100000));
+}
+
 /* What follows on the connection belongs to the body that was refused. */
 static void
 test_nothing_is_read_after_a_refusal(void **state)
@@ -576,6 +593,7 @@
 #define T(t) cmocka_unit_test_setup_teardown(t, setup, teardown)
 	    T(test_declared_length_over_the_limit_is_refused_at_the_head),
 	    T(test_refusal_takes_the_place_of_100_continue),
+	    T(test_long_head_with_a_body_is_refused_at_once),
 	    T(test_nothing_is_read_after_a_refusal),
 	    T(test_chunked_body_over_the_limit),
 	    T(test_without_room_a_length_is_refused_at_the_head),
