--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -200,6 +200,7 @@
 	poll_faults();
 	for (i = 0; i < soak.ncallers; i++)
 		poll_caller(&soak.caller[i]);
+	poll_strangers();
 	if (mu_now(&soak.clock) - before > STALL_MS * MU_US_PER_MS)
 		soak.stalled_at = mu_now(&soak.clock);
 }
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -167,6 +167,9 @@
 void open_callers(void);
 void poll_caller(struct caller *c);
 
+/* strangers.c */
+void poll_strangers(void);
+
 /* judge.c */
 /* The connection has ended without a complete answer. */
 void judge_closed(const struct caller *c);
