Routes, inbound, shed: one search for a service, no unread field, a reason kept

Found by reading the whole change again; behaviour is the same. mu_routes_index() repeated the search of mu_routes_service(). The field r of struct mu_in_conn was written and never read.

--- a/src/inbound.c
+++ b/src/inbound.c
@@ -278,7 +278,6 @@
 		return NULL;
 	r->in = in;
 	r->conn = c;
-	c->r = r;
 	mu_in_conn_receiving(in, c);
 	r->connection = connection;
 	r->uri = strdup(uri);
@@ -484,7 +483,6 @@
 		    in->conf.hooks.arg, r, r->end == MU_IN_SENT);
 	}
 	mu_in_body_free(r);
-	r->conn->r = NULL;
 	mu_in_conn_idle(in, r->conn);
 	mu_arena_free(r->arena);
 	free(r->uri);
--- a/src/inbound_private.h
+++ b/src/inbound_private.h
@@ -41,7 +41,6 @@
 	struct in_addr client;
 	bool listed;
 	bool closing; /* shut down; its requests are not read any more */
-	struct mu_in_req *r; /* in progress; NULL: none */
 };
 
 /* inbound.c */
--- a/src/routes.c
+++ b/src/routes.c
@@ -62,8 +62,8 @@
 	return best;
 }
 
-const struct mu_service *
-mu_routes_service(const struct mu_routes *r, const char *name)
+static struct mu_service *
+find_service(const struct mu_routes *r, const char *name)
 {
 	size_t i;
 
@@ -73,18 +73,25 @@
 	return NULL;
 }
 
+const struct mu_service *
+mu_routes_service(const struct mu_routes *r, const char *name)
+{
+	return find_service(r, name);
+}
+
 static void
 index_route(struct mu_routes *r, const struct mu_route *t)
 {
-	size_t i, k;
-
-	for (i = 0; i < t->nshares; i++)
-		for (k = 0; k < r->nservices; k++)
-			if (t->shares[i].weight > 0 &&
-			    strcmp(r->service[k].name, t->shares[i].service) ==
-				0 &&
-			    t->priority > r->service[k].least_urgent)
-				r->service[k].least_urgent = t->priority;
+	struct mu_service *v;
+	size_t i;
+
+	for (i = 0; i < t->nshares; i++) {
+		if (t->shares[i].weight == 0)
+			continue;
+		v = find_service(r, t->shares[i].service);
+		if (v != NULL && t->priority > v->least_urgent)
+			v->least_urgent = t->priority;
+	}
 }
 
 void
--- a/src/shed.c
+++ b/src/shed.c
@@ -20,8 +20,9 @@
 /* The queue is then about as long as a program's time limit bears: programs
  * are given 1.3 to 1.5 times their time on idle endpoints. */
 #define LAST_UTILIZATION_MAX 1.3
-/* Where no programs are less urgent, the load is estimated from old reports
- * (loadest.c) and is higher than the estimate. */
+/* The remaining slots serve concurrent calls of started programs, and endpoints
+ * slow down as they fill.  Where no programs are less urgent, the load is
+ * estimated from old reports (loadest.c) and is higher than the estimate. */
 #define DEFAULT_UTILIZATION_MAX 0.75
 
 /* Some turns end within this time, and a caller can retry several times. */
