--- a/review/9/case.c
+++ b/review/9/case.c
@@ -1,25 +1,24 @@
 /*
- * Turns with a body inside the limits of the desired state, but larger than
- * the store takes in one call, on channels that are kept.
+ * A daemon is killed in the middle of a turn.  The caller resumes the stream at
+ * another daemon, gets the rest, and goes on with the conversation.
  */
+#include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "rig.h"
 
-#define TURNS 6
-#define BODY_BYTES 1000000 /* max_body_bytes is 4,194,304 */
-#define USUAL_BYTES 4300
-#define EVENTS 4
-#define PAUSE_MS 20
+#define EVENTS 6
+#define PAUSE_MS 100
+#define KILL_AFTER_MS 350 /* after the turn was sent */
 
 static const char config[] =
     "{\"version\":7,\"routes\":[{\"name\":\"adapt\",\"host\":"
     "\"recipes.example\",\"path_prefix\":\"/adapt/\",\"type\":\"streaming\","
     "\"timeout_ms\":3000,\"target_latency_ms\":250,\"priority\":1,"
     "\"service\":\"smokehouse\",\"max_attempts\":1,\"keeps_history\":true,"
-    "\"retention_s\":60.0,\"sticky\":true,\"resumable\":false,"
+    "\"retention_s\":60.0,\"sticky\":true,\"resumable\":true,"
     "\"gap_target_ms\":150}],\"services\":[{\"name\":\"smokehouse\","
     "\"health_path\":\"/healthz\",\"max_connections\":140,\"protocol\":\"h1\","
     "\"tls\":false,\"engine\":{\"slots\":8,\"kv_capacity_tokens\":103850,"
@@ -27,47 +26,56 @@
     "\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"
     "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
 
+static struct text last_body;
+
 static void
 run(struct arrival *a)
 {
-	record("%s: runs %s, body of %zu bytes", a->e->id, a->id,
-	    a->m->body.len);
+	text_clear(&last_body);
+	text_add(&last_body, a->m->body.p, a->m->body.len);
+	record("%s: runs %s from event %d, body of %zu bytes", a->e->id, a->id,
+	    a->last_event + 1, a->m->body.len);
 	arrival_stream(a, EVENTS, PAUSE_MS, 0);
-	record("%s: has answered %s%s", a->e->id, a->id,
-	    a->broken ? ", not whole" : " whole");
 }
 
-static bool
-run_turn(struct conn *c, const char *id, const char *program, size_t len)
+static void
+run_turn(int daemon, const char *id, const char *more, const char *input,
+    struct answer *a)
 {
-	char *body = malloc(len), headers[512];
-	struct answer a;
-	bool ok;
+	char headers[512];
+	struct conn c;
 
-	memset(body, 'w', len);
 	snprintf(headers, sizeof(headers),
-	    "Model: m\r\nToken-Usage: 2000,85\r\nProgram-Id: %s\r\n"
-	    "Session-Id: %s\r\nProgram-Deadline-Ms: 9000\r\n"
-	    "Token-Budget: 2000\r\n",
-	    program, program);
-	caller_run(c, id, "POST", "/adapt/2f", headers, body, len, 3000, 4000,
-	    &a);
-	record("%s (%zu bytes): gets %d, %d events, %s", id, len, a.status,
-	    a.events, a.whole ? "whole" : "its channel ends before the end");
-	ok = a.whole && a.status == 200;
-	answer_clear(&a);
-	free(body);
-	return ok;
+	    "Model: m\r\nToken-Usage: 60,102\r\nProgram-Id: cook\r\n"
+	    "Session-Id: cook\r\nProgram-Deadline-Ms: 9000\r\n"
+	    "Token-Budget: 2000\r\n%s",
+	    more);
+	caller_open(&c, daemon);
+	caller_run(&c, id, "POST", "/adapt/2f", headers, input, strlen(input),
+	    3000, 4000, a);
+	record("%s at daemon %d: gets %d, %d events up to event %d, %s", id,
+	    daemon, a->status, a->events, a->last_event,
+	    a->whole ? "whole" : "not whole");
+	caller_close(&c);
+}
+
+static void *
+killer(void *arg)
+{
+	rig_sleep_ms(KILL_AFTER_MS);
+	daemon_kill(0);
+	return arg;
 }
 
 int
 main(int argc, char **argv)
 {
-	size_t len = rig_trouble() ? BODY_BYTES : USUAL_BYTES;
-	char id[64], program[64];
-	unsigned closed = 0;
-	struct conn c;
-	int i;
+	static const char input1[] = "question 1\n", input2[] = "question 2\n";
+	struct text expected = {0};
+	struct answer a;
+	char more[128], turn[64] = "cook1-1";
+	pthread_t t;
+	int n;
 
 	rig_open(argc > 1 ? argv[1] : "record.txt");
 	store_open();
@@ -76,18 +84,31 @@
 	endpoint_open("i-2", "smokehouse", "milwaukee", run);
 	endpoint_open("i-3", "smokehouse", "toledo", run);
 	daemons_open(3);
-	rig_sleep_ms(1000);
-	for (i = 0; i < TURNS; i++) {
-		snprintf(program, sizeof(program), "p%d", i);
-		caller_open(&c, i % 3);
-		snprintf(id, sizeof(id), "usual%d", i);
-		if (!run_turn(&c, id, program, USUAL_BYTES))
-			rig_unable("an ordinary turn was not answered");
-		snprintf(id, sizeof(id), "large%d", i);
-		closed += !run_turn(&c, id, program, len);
-		caller_close(&c);
-		rig_sleep_ms(500);
+	if (rig_trouble())
+		pthread_create(&t, NULL, killer, NULL);
+	run_turn(0, turn, "", input1, &a);
+	if (!a.whole) {
+		if (a.last_event == 0)
+			rig_unable("the stream did not begin");
+		snprintf(more, sizeof(more), "Last-Event-Id: %d\r\n",
+		    a.last_event);
+		answer_clear(&a);
+		rig_sleep_ms(100);
+		snprintf(turn, sizeof(turn), "cook1-2");
+		run_turn(1, turn, more, input1, &a);
 	}
-	record("kept channels closed without the end of an answer: %u", closed);
-	rig_exit(closed > 3 ? RIG_BROKEN : RIG_HELD);
+	if (!a.whole || a.last_event != EVENTS)
+		rig_unable("the turn was not answered");
+	answer_clear(&a);
+	text_add(&expected, input1, strlen(input1));
+	for (n = 1; n <= EVENTS; n++)
+		event_text(&expected, body_hash(input1, strlen(input1)), n);
+	text_add(&expected, input2, strlen(input2));
+	snprintf(more, sizeof(more), "Previous-Turn: %s\r\n", turn);
+	run_turn(1, "cook2-1", more, input2, &a);
+	if (!a.whole || a.status != 200)
+		rig_unable("the second turn was not answered");
+	record("expected body of turn 2:\n%s", expected.p);
+	record("body that an endpoint ran:\n%s", last_body.p);
+	rig_exit(strcmp(expected.p, last_body.p) == 0 ? RIG_HELD : RIG_BROKEN);
 }
--- a/review/rig-2/rig.c
+++ b/review/rig-2/rig.c
@@ -21,6 +21,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <time.h>
@@ -38,6 +39,8 @@
 #define HEARTBEAT_MS 1200
 #define READY_LIMIT_MS 20000
 #define ENDPOINT_QUEUE 24
+#define FIRST_PORT 10000
+#define PORTS 20000
 #define PROGRAM "target/cardamomusher"
 
 static int64_t started_at;
@@ -227,13 +230,26 @@
 	return fd;
 }
 
+/* A free port below those that the system gives to outgoing connections, so
+ * that none is taken before its daemon listens.  Cases that run at the same time
+ * begin at different ports. */
 static int
 free_port(void)
 {
-	int port, fd = listen_any(&port);
+	struct sockaddr_in sin = {.sin_family = AF_INET};
+	static unsigned tried;
+	unsigned port;
+	int fd, rc;
 
-	close(fd);
-	return port;
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	do {
+		port = FIRST_PORT + ((unsigned)getpid() * 331 + tried++) % PORTS;
+		sin.sin_port = htons((uint16_t)port);
+		fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+		rc = bind(fd, (struct sockaddr *)&sin, sizeof(sin));
+		close(fd);
+	} while (rc != 0 && tried < PORTS);
+	return (int)port;
 }
 
 static void
@@ -922,6 +938,14 @@
 	setsockopt(c->fd, SOL_SOCKET, SO_LINGER, &l, sizeof(l));
 }
 
+void
+arrival_lose(struct arrival *a)
+{
+	record("%s: has run %s and loses the answer", a->e->id, a->id);
+	reset_connection(a->c);
+	a->broken = true;
+}
+
 /* Whether the other side has closed the connection. */
 static bool
 caller_left(struct conn *c)
@@ -1114,6 +1138,7 @@
 	if (daemons[i].pid < 0)
 		rig_unable("no process");
 	if (daemons[i].pid == 0) {
+		(void)prctl(PR_SET_PDEATHSIG, SIGKILL);
 		fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
 		if (fd >= 0) {
 			dup2(fd, 1);
@@ -1196,6 +1221,16 @@
 	record("%s: killed", daemons[i].host);
 }
 
+void
+daemon_stop(int i)
+{
+	record("%s: SIGTERM", daemons[i].host);
+	kill(daemons[i].pid, SIGTERM);
+	waitpid(daemons[i].pid, NULL, 0);
+	daemons[i].pid = 0;
+	record("%s: has exited", daemons[i].host);
+}
+
 /* Callers */
 
 void
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -116,6 +116,8 @@
  * `break_after` events with a reset in the middle of the next; 0: never. */
 void arrival_stream(
     struct arrival *a, int events, int pause_ms, int break_after);
+/* Resets the connection without an answer. */
+void arrival_lose(struct arrival *a);
 /* Text of the data of event n of a request with this hash, with a line feed. */
 void event_text(struct text *t, uint32_t hash, int n);
 uint32_t body_hash(const void *p, size_t len);
@@ -127,6 +129,8 @@
 void daemons_open(int n);
 int daemon_port(int i);
 void daemon_kill(int i);
+/* Sends SIGTERM and waits for the exit. */
+void daemon_stop(int i);
 bool daemon_ready(int i);
 
 /* Callers */
