review/6: one endpoint of seven, five times as slow

The form before had one of three endpoints seven times as slow, over the site's doses for a service of model engines.

--- a/review/6/case.c
+++ b/review/6/case.c
@@ -12,9 +12,10 @@
 #include "rig.h"
 
 #define RETENTION_MS 60000
-#define EVENTS 4
+#define EVENTS 6
+#define ENDPOINTS 7
 #define USUAL_PAUSE_MS 75 /* between the events of an answer */
-#define SLOWDOWN 7 /* of an endpoint under trouble */
+#define SLOWDOWN 5 /* of an endpoint under trouble */
 #define CALLERS 14 /* of ordinary programs */
 
 static const char config[] =
@@ -65,7 +66,7 @@
 	int n;
 
 	n = snprintf(headers, sizeof(headers),
-	    "Model: m\r\nToken-Usage: 60,85\r\nProgram-Id: %s\r\n"
+	    "Model: m\r\nToken-Usage: 60,102\r\nProgram-Id: %s\r\n"
 	    "Session-Id: %s\r\nProgram-Deadline-Ms: 70000\r\n"
 	    "Token-Budget: 2000\r\n",
 	    program, program);
@@ -150,9 +151,14 @@
 	rig_open(argc > 1 ? argv[1] : "record.txt");
 	store_open();
 	store_put("op", "config", config);
-	endpoint_open("i-1", "smokehouse", "duluth", run);
-	endpoint_open("i-2", "smokehouse", "milwaukee", run);
-	endpoint_open("i-3", "smokehouse", "toledo", run);
+	for (i = 0; i < ENDPOINTS; i++) {
+		static const char *const zones[] = {
+		    "duluth", "milwaukee", "toledo"};
+		char id[16];
+
+		snprintf(id, sizeof(id), "i-%d", i + 1);
+		endpoint_open(id, "smokehouse", zones[i % 3], run);
+	}
 	daemons_open(3);
 	for (i = 0; i < CALLERS; i++) {
 		numbers[i] = i;
