Call: turns in a module of their own

call.c held the life cycle of a request together with the budget, the history and the record of a turn, in 769 lines. The latter are now in callturn.c; functions are moved as they were, those used from both sides get a name in call_private.h.

--- a/src/call.c
+++ b/src/call.c
@@ -20,20 +20,12 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 
 #include "call_private.h"
 #include "log.h"
 #include "metric.h"
-#include "scope.h"
 
 #define MAX_EVENT_BYTES ((size_t)1 << 20)
-/* Longest wait for an unavailable store.  After it the caller is told to retry:
- * programs that start late in an outage still continue as soon as it ends, and
- * no request is held until its deadline. */
-#define TURN_START_TIMEOUT_US (1 * MU_US_PER_S)
-#define RETRY_AFTER_OUTAGE_MS 400
-#define RETRY_AFTER_OVERLOAD_MS 250
 /* From a daemon that stops: at once if another one serves; else by then this
  * one has started again, or others are ready. */
 #define RETRY_AFTER_ELSEWHERE_MS 1
@@ -93,27 +85,6 @@
 	    c->routes != NULL ? (json_int_t)c->routes->version : 0);
 }
 
-static void
-settle(struct mu_call *c, const Mu__TurnRecord *rec)
-{
-	struct mu_settlement t = {0};
-
-	if (!c->grant.held)
-		return;
-	t.program = c->program_id;
-	t.turn = c->turn_id;
-	t.rec = rec;
-	if (c->service != NULL)
-		t.used = c->events * c->service->tokens_per_event;
-	if (c->events > 0 && c->req.nparts > 0 && *c->last_endpoint != '\0') {
-		t.part = c->req.parts[0];
-		(void)snprintf(t.cached.endpoint, sizeof(t.cached.endpoint),
-		    "%s", c->last_endpoint);
-		t.cached.held = c->req.prompt_tokens + t.used;
-	}
-	mu_home_settle(c->s->home, &c->grant, &t);
-}
-
 /* The request won't be sent again: frees its body before the caller has taken
  * the answer. */
 static void
@@ -138,7 +109,7 @@
 	}
 	c->state = ST_ANSWERED;
 	release_body(c);
-	settle(c, NULL);
+	mu_call_settle(c, NULL);
 	if (c->possible_runs == 0)
 		mu_call_return_token(c);
 }
@@ -176,8 +147,8 @@
 
 	mu_attempt_cancel(c, MU_HEALTH_FAILURE);
 	if (c->possible_runs == 0)
-		mu_call_end_with_error(
-		    c, 503, RETRY_AFTER_OVERLOAD_MS, "timeout_before_sending");
+		mu_call_end_with_error(c, 503, MU_CALL_RETRY_AFTER_OVERLOAD_MS,
+		    "timeout_before_sending");
 	else
 		mu_call_end_with_error(c, 504, 0, "timeout");
 }
@@ -214,8 +185,8 @@
 	mu_call_retry(c);
 }
 
-static void
-send_answer(struct mu_call *c)
+void
+mu_call_send_answer(struct mu_call *c)
 {
 	c->reason = "answered";
 	mu_count(MU_M_CALLS_OK, 1);
@@ -233,43 +204,6 @@
 	}
 }
 
-/* Commit of a turn with history. */
-
-static Mu__TurnRecord *
-make_record(struct mu_call *c)
-{
-	const Mu__TurnRecord *parent = NULL;
-	Mu__TurnRecord *r = malloc(sizeof(*r));
-	size_t i;
-
-	if (r == NULL)
-		abort();
-	mu__turn_record__init(r);
-	r->turn = strdup(c->turn_id);
-	if (c->previous_id != NULL)
-		parent = mu_history_find(c->s->history, c->previous_id);
-	if (parent != NULL) {
-		r->ancestors = calloc(parent->n_ancestors + 1, sizeof(char *));
-		if (r->ancestors == NULL)
-			abort();
-		for (i = 0; i < parent->n_ancestors; i++)
-			r->ancestors[i] = strdup(parent->ancestors[i]);
-		r->ancestors[i] = strdup(parent->turn);
-		r->n_ancestors = i + 1;
-	}
-	r->input.data = malloc(c->req.len + 1);
-	r->output.data = malloc(mu_buf_len(&c->output) + 1);
-	if (r->input.data == NULL || r->output.data == NULL)
-		abort();
-	r->input.len = c->req.len;
-	if (c->req.len > 0)
-		memcpy(r->input.data, c->req.body, c->req.len);
-	r->output.len = mu_buf_len(&c->output);
-	if (r->output.len > 0)
-		memcpy(r->output.data, mu_buf_data(&c->output), r->output.len);
-	return r;
-}
-
 void
 mu_call_unref(struct mu_call *c)
 {
@@ -288,56 +222,6 @@
 	free(c);
 }
 
-struct commit_request {
-	struct mu_call *c;
-	Mu__TurnRecord *rec;
-};
-
-static void
-on_committed(void *arg, enum mu_history_status st)
-{
-	struct commit_request *k = arg;
-	struct mu_call *c = k->c;
-	mu_us keep = c->route->keep;
-	struct mu_history *h = c->s->history;
-
-	if (!c->closed && c->state == ST_COMMITTING) {
-		if (st == MU_HISTORY_OK) {
-			settle(c, k->rec);
-			mu_history_cache_put(h, k->rec, keep);
-			k->rec = NULL;
-			send_answer(c);
-		} else {
-			mu_call_end_with_error(
-			    c, 504, 0, "record_not_committed");
-		}
-	}
-	if (k->rec != NULL)
-		mu__turn_record__free_unpacked(k->rec, NULL);
-	free(k);
-	mu_call_unref(c);
-}
-
-static void
-commit_turn(struct mu_call *c)
-{
-	struct commit_request *k = calloc(1, sizeof(*k));
-
-	if (k == NULL)
-		abort();
-	c->state = ST_COMMITTING;
-	c->references++;
-	mu_buf_clear(&c->body);
-	/* The record's copy of the output, and its encoded form. */
-	if (c->acct != NULL)
-		mu_acct_force(c->acct, &c->copies, 2 * mu_buf_len(&c->output),
-		    mu_loop_now(c->s->loop));
-	k->c = c;
-	k->rec = make_record(c);
-	mu_history_commit(c->s->history, k->rec, c->route->keep, c->deadline,
-	    on_committed, k);
-}
-
 /* Callers take these as a promise that the request has not run and will not. */
 static bool
 promises_not_run(int status)
@@ -353,8 +237,8 @@
 		mu_call_exclude_endpoint(c, c->last_endpoint);
 		c->reason = "refused_by_endpoint";
 		if (c->attempts >= MU_CALL_MAX_ATTEMPTS)
-			mu_call_fail(
-			    c, RETRY_AFTER_OVERLOAD_MS, "endpoints_full");
+			mu_call_fail(c, MU_CALL_RETRY_AFTER_OVERLOAD_MS,
+			    "endpoints_full");
 		else
 			mu_call_retry(c);
 		return;
@@ -382,15 +266,15 @@
 	}
 	mu_crashes_completed(&c->s->crashes, c->fingerprint);
 	if (c->streaming && c->route->keeps_history)
-		commit_turn(c);
+		mu_call_commit_turn(c);
 	else
-		send_answer(c);
+		mu_call_send_answer(c);
 }
 
-/* Routing, budget and history. */
+/* Routing. */
 
-static void
-set_fingerprint(struct mu_call *c)
+void
+mu_call_set_fingerprint(struct mu_call *c)
 {
 	bool continued = mu_buf_len(&c->body) > 0;
 
@@ -413,167 +297,10 @@
 	mu_log(MU_LOG_WARN, "call", "crash_refused", "{s:s,s:I,s:i}", "request",
 	    c->req.id, "fingerprint", (json_int_t)c->fingerprint, "crashes",
 	    (int)count);
-	mu_call_fail(c, RETRY_AFTER_OUTAGE_MS, "kills_endpoints");
+	mu_call_fail(c, MU_CALL_RETRY_AFTER_OUTAGE_MS, "kills_endpoints");
 	return true;
 }
 
-static void begin_turn(struct mu_call *c);
-
-/* The previous turn may have been served before customers were configured: it
- * belongs to none and is stored under the id of a caller without customer. */
-static bool
-continue_unowned_turn(struct mu_call *c)
-{
-	const char *id = mu_scope_id(c->arena, NULL, c->req.previous);
-
-	if (id == NULL)
-		abort();
-	if (c->customer == NULL || strcmp(c->previous_id, id) == 0)
-		return false;
-	c->previous_id = id;
-	begin_turn(c);
-	return true;
-}
-
-static void
-refuse_new_program(struct mu_call *c)
-{
-	if (!c->only_started) {
-		mu_count(MU_M_PROGRAMS_SHED, 1);
-		mu_log(MU_LOG_INFO, "call", "program_shed",
-		    "{s:s,s:s?,s:s,s:s,s:f}", "request", c->req.id, "program",
-		    c->req.program, "service", c->group->name, "class",
-		    mu_shed_class_name(c->shed_class), "utilization",
-		    c->utilization);
-		mu_call_end_with_error(c, 503,
-		    mu_shed_retry_ms(c->shed_class, c->req.program_left_ms,
-			&c->s->targets.rng),
-		    "no_place_for_new_programs");
-		return;
-	}
-	mu_count(MU_M_LIMITED, 1);
-	mu_call_end_with_error(
-	    c, 429, c->limit_retry_ms, "rate_limited_new_program");
-}
-
-/*
- * Reserves room for copies of the body before the request is passed on: the
- * turn's record and its encoded form, and before them the text with history,
- * which is freed when the record is made.  Returns false if there is none and
- * the request has been refused.
- */
-static bool
-reserve_copies(struct mu_call *c, size_t text)
-{
-	size_t most = c->route->keeps_history ? 2 * c->req.len : 0;
-
-	if (text > most)
-		most = text;
-	if (most <= c->copies.bytes ||
-	    mu_in_reserve(c->in, &c->copies, most - c->copies.bytes))
-		return true;
-	mu_call_end_with_error(c, 503, RETRY_AFTER_OVERLOAD_MS, "no_room");
-	return false;
-}
-
-/* The turn's budget is reserved: adds its history and sends it. */
-static void
-send_turn(struct mu_call *c)
-{
-	struct mu_history *h = c->s->history;
-	size_t len;
-
-	if (c->previous_id != NULL) {
-		len = mu_history_text_len(h, c->previous_id) + c->req.len;
-		if (!reserve_copies(c, len + 1))
-			return;
-		if (mu_buf_set_size(&c->body, len + 1) != 0 ||
-		    mu_history_text(h, c->previous_id, &c->body) != 0 ||
-		    mu_buf_add(&c->body, c->req.body, c->req.len) != 0) {
-			mu_call_end_with_error(c, 503, MU_CALL_RETRY_AFTER_MS,
-			    "history_unavailable");
-			return;
-		}
-		set_fingerprint(c);
-	}
-	mu_call_dispatch(c);
-}
-
-/* Whether the turn is cut off if it uses all that it may (account.c). */
-static bool
-may_be_cut_off(const struct mu_call *c)
-{
-	return c->grant.held && c->grant.tokens > 0 &&
-	       c->grant.tokens < c->req.max_turn_tokens;
-}
-
-static void
-on_turn_begun(void *arg, enum mu_turn_start_status st)
-{
-	struct mu_call *c = arg;
-
-	if (c->closed || c->state != ST_PREPARING) {
-		settle(c, NULL); /* the call ended meanwhile: none used */
-		mu_call_unref(c);
-		return;
-	}
-	/* A daemon that stops accepts only what it can answer whole. */
-	if (st == MU_START_OK && mu_serve_leaving(c->s) && may_be_cut_off(c))
-		st = MU_START_UNAVAILABLE;
-	switch (st) {
-	case MU_START_OK:
-		mu_call_turn_reserved(c);
-		send_turn(c);
-		break;
-	case MU_START_BUDGET_EXHAUSTED:
-		mu_call_end_with_error(c, 402, 0, "budget_exhausted");
-		break;
-	case MU_START_NO_SUCH_TURN:
-		if (!continue_unowned_turn(c))
-			mu_call_end_with_error(c, 404, 0, "no_such_turn");
-		break;
-	case MU_START_NEW_PROGRAM:
-		refuse_new_program(c);
-		break;
-	case MU_START_UNAVAILABLE:
-		mu_call_end_with_error(
-		    c, 503, RETRY_AFTER_OUTAGE_MS, "state_unavailable");
-		break;
-	}
-	mu_call_unref(c);
-}
-
-static bool
-admits_new_program(struct mu_call *c)
-{
-	c->utilization = mu_group_utilization(&c->s->targets, c->group);
-	return mu_shed_admits(c->shed_class, c->utilization);
-}
-
-static void
-begin_turn(struct mu_call *c)
-{
-	struct mu_turn_start b = {0};
-
-	b.program =
-	    c->req.has_budget && c->program_id != NULL ? c->program_id : "";
-	b.budget = c->req.budget;
-	b.most = c->req.max_turn_tokens;
-	b.turn = c->turn_id;
-	b.previous = c->previous_id;
-	b.keep = c->route->keep;
-	b.parts = c->req.parts;
-	b.nparts = c->req.nparts;
-	b.only_begun = c->only_started ||
-		       (c->req.previous == NULL && !admits_new_program(c));
-	b.deadline = c->arrived + TURN_START_TIMEOUT_US < c->deadline
-			 ? c->arrived + TURN_START_TIMEOUT_US
-			 : c->deadline;
-	c->state = ST_PREPARING;
-	c->references++;
-	mu_home_start_turn(c->s->home, &b, &c->grant, on_turn_begun, c);
-}
-
 static uint32_t
 retry_after_stopping(const struct mu_serve *s)
 {
@@ -608,7 +335,7 @@
 	    c->route, mu_hash(hash_key != NULL ? hash_key : c->req.id));
 	if (service == NULL) {
 		mu_call_end_with_error(
-		    c, 503, RETRY_AFTER_OVERLOAD_MS, "no_service");
+		    c, 503, MU_CALL_RETRY_AFTER_OVERLOAD_MS, "no_service");
 		return false;
 	}
 	c->service = mu_routes_service(c->routes, service);
@@ -646,17 +373,6 @@
 		: limit;
 }
 
-void
-mu_call_admitted(struct mu_call *c)
-{
-	if (!reserve_copies(c, 0))
-		return;
-	if (c->req.has_budget || c->previous_id != NULL)
-		begin_turn(c);
-	else
-		mu_call_dispatch(c);
-}
-
 void
 mu_call_start(
     struct mu_serve *s, struct mu_in_req *r, const struct mu_call_req *req)
@@ -697,7 +413,7 @@
 	}
 	/* That of a turn that continues needs its history first. */
 	if (c->req.previous == NULL) {
-		set_fingerprint(c);
+		mu_call_set_fingerprint(c);
 		if (mu_call_refuse_crashing(c))
 			return;
 	}
--- a/src/call_private.h
+++ b/src/call_private.h
@@ -1,8 +1,8 @@
 /*
  * call_private.h -- the state of a call, shared by call.c (life cycle and final
- * answer), callgate.c (the customer's key and rate limit), attempt.c (one
- * exchange with an endpoint) and callplace.c (choice of the endpoint and the
- * queue for capacity).
+ * answer), callgate.c (the customer's key and rate limit), callturn.c (budget
+ * and history), attempt.c (one exchange with an endpoint) and callplace.c
+ * (choice of the endpoint and the queue for capacity).
  */
 #ifndef MU_CALL_PRIVATE_H
 #define MU_CALL_PRIVATE_H
@@ -16,6 +16,8 @@
 /* Retry-After: about the time to draw budget or reread a record, or to learn of
  * another endpoint. */
 #define MU_CALL_RETRY_AFTER_MS 200
+#define MU_CALL_RETRY_AFTER_OUTAGE_MS 400
+#define MU_CALL_RETRY_AFTER_OVERLOAD_MS 250
 
 enum mu_call_state {
 	ST_PREPARING, /* rate limit, budget and history, or about to be sent */
@@ -117,8 +119,6 @@
 
 /* call.c.  Each ends the call or starts its next step, which may end it: c must
  * not be used afterwards. */
-/* Continues a call that its customer's rate limit admits. */
-void mu_call_admitted(struct mu_call *c);
 /* Ends a call whose request crashes endpoints; false if it may be sent. */
 bool mu_call_refuse_crashing(struct mu_call *c);
 /* Releases a reference. */
@@ -136,6 +136,18 @@
 void mu_call_retry(struct mu_call *c);
 /* Handles a complete answer: a refusal, a failure or the final answer. */
 void mu_call_answer_complete(struct mu_call *c);
+/* Sends the end of the endpoint's answer, or the whole of it. */
+void mu_call_send_answer(struct mu_call *c);
+/* Sets the fingerprint from what the endpoint gets. */
+void mu_call_set_fingerprint(struct mu_call *c);
+
+/* callturn.c.  As in call.c, c must not be used after the first two. */
+/* Continues a call that its customer's rate limit admits. */
+void mu_call_admitted(struct mu_call *c);
+/* Commits the turn's record, then sends the end of its answer. */
+void mu_call_commit_turn(struct mu_call *c);
+/* Reports at the program's home what the turn used; rec NULL: no record. */
+void mu_call_settle(struct mu_call *c, const Mu__TurnRecord *rec);
 
 /* attempt.c */
 /* Starts an attempt at x; false if no exchange could be started. */
