Turns: a running turn keeps the ids of the turns that it continues

Cause: a turn's record took its ancestors from the cached record of the previous turn when the answer had ended, and nothing kept that record while the turn ran. Expired, or evicted from a cache over its limit, it was not found, and the turn was stored as the first of a conversation. Ruled out: a chain that is read in part, since the turn itself is sent with all of it.

The call now copies the ids of the turns whose text it sends, and the record is made of these. The `end` line has their number, which would have told the fault from a caller without Previous-Turn.

On the way to that text: cached turns of a chain could expire and be evicted by those just read from the store, so that the turn was refused with history_unavailable; they are now kept, and a record that is received again is kept from then on.

--- a/src/call.c
+++ b/src/call.c
@@ -62,10 +62,10 @@
 
 	mu_log(status >= 400 || status == 0 ? MU_LOG_WARN : MU_LOG_INFO, "call",
 	    "end",
-	    "{s:s,s:s?,s:s?,s:s?,s:s?,s:i,s:s?,s:s?,s:I,s:I,s:I,s:I,s:I,s:i,"
-	    "s:i,s:I,s:I}",
+	    "{s:s,s:s?,s:s?,s:I,s:s?,s:s?,s:i,s:s?,s:s?,s:I,s:I,s:I,s:I,s:I,"
+	    "s:i,s:i,s:I,s:I}",
 	    "request", c->req.id, "program", c->req.program, "previous",
-	    c->req.previous, "customer",
+	    c->req.previous, "turns", (json_int_t)c->nchain, "customer",
 	    c->customer != NULL ? c->customer->name : NULL, "route",
 	    c->route != NULL ? c->route->name : NULL, "status", status, "why",
 	    c->reason, "endpoint",
--- a/src/call_private.h
+++ b/src/call_private.h
@@ -62,6 +62,10 @@
 	bool overdue_reported; /* counted against the endpoint's health */
 	struct mu_turn_reservation grant;
 	struct mu_buf body; /* history and input; empty: use req.body */
+	/* Ids of the turns in that history, oldest first, in arena: the cache
+	 * may drop them while the turn runs. */
+	char **chain;
+	size_t nchain;
 	/* Room for what the call holds; acct NULL: not counted. */
 	struct mu_acct *acct;
 	struct mu_acct_holder copies; /* of the request's body */
--- a/src/callturn.c
+++ b/src/callturn.c
@@ -42,26 +42,20 @@
 }
 
 static Mu__TurnRecord *
-make_record(struct mu_call *c)
+make_record(const struct mu_call *c)
 {
-	const Mu__TurnRecord *parent = NULL;
 	Mu__TurnRecord *r = malloc(sizeof(*r));
-	size_t i;
 
 	if (r == NULL)
 		abort();
 	mu__turn_record__init(r);
 	r->turn = strdup(c->turn_id);
-	if (c->previous_id != NULL)
-		parent = mu_history_find(c->s->history, c->previous_id);
-	if (parent != NULL) {
-		r->ancestors = calloc(parent->n_ancestors + 1, sizeof(char *));
-		if (r->ancestors == NULL)
-			abort();
-		for (i = 0; i < parent->n_ancestors; i++)
-			r->ancestors[i] = strdup(parent->ancestors[i]);
-		r->ancestors[i] = strdup(parent->turn);
-		r->n_ancestors = i + 1;
+	r->ancestors = calloc(c->nchain + 1, sizeof(char *));
+	if (r->ancestors == NULL)
+		abort();
+	while (r->n_ancestors < c->nchain) {
+		r->ancestors[r->n_ancestors] = strdup(c->chain[r->n_ancestors]);
+		r->n_ancestors++;
 	}
 	r->input.data = malloc(c->req.len + 1);
 	r->output.data = malloc(mu_buf_len(&c->output) + 1);
@@ -186,6 +180,24 @@
 	return false;
 }
 
+/* Keeps the ids of the cached turns that this one continues. */
+static void
+set_chain(struct mu_call *c, const Mu__TurnRecord *previous)
+{
+	size_t i, n = previous->n_ancestors;
+
+	c->chain = mu_arena_alloc(c->arena, (n + 1) * sizeof(char *));
+	if (c->chain == NULL)
+		abort();
+	for (i = 0; i <= n; i++) {
+		c->chain[i] = mu_arena_strdup(
+		    c->arena, i < n ? previous->ancestors[i] : previous->turn);
+		if (c->chain[i] == NULL)
+			abort();
+	}
+	c->nchain = n + 1;
+}
+
 /* The turn's budget is reserved: adds its history and sends it. */
 static void
 send_turn(struct mu_call *c)
@@ -204,6 +216,7 @@
 			    "history_unavailable");
 			return;
 		}
+		set_chain(c, mu_history_find(h, c->previous_id));
 		mu_call_set_fingerprint(c);
 	}
 	mu_call_dispatch(c);
@@ -223,8 +236,8 @@
 	struct mu_call *c = arg;
 
 	if (c->closed || c->state != ST_PREPARING) {
-		mu_call_settle(
-		    c, NULL); /* the call ended meanwhile: none used */
+		/* The call ended meanwhile: none used. */
+		mu_call_settle(c, NULL);
 		mu_call_unref(c);
 		return;
 	}
--- a/src/history.c
+++ b/src/history.c
@@ -107,6 +107,18 @@
 	return t != NULL ? t->rec : NULL;
 }
 
+/* The turn is needed: keeps it as long as one that was just added. */
+static void
+refresh(struct mu_history *h, struct cached_turn *t, mu_us retention)
+{
+	mu_us until = mu_loop_now(h->loop) + retention;
+
+	if (until > t->expires_at)
+		t->expires_at = until;
+	cds_list_del(&t->age_node);
+	cds_list_add_tail(&t->age_node, &h->by_age);
+}
+
 /* Drops expired turns, and the oldest ones while the cache is over its limit.
  */
 static void
@@ -127,10 +139,11 @@
 void
 mu_history_cache_put(struct mu_history *h, Mu__TurnRecord *rec, mu_us retention)
 {
-	struct cached_turn *t;
+	struct cached_turn *t = find_turn(h, rec->turn);
 
-	if (find_turn(h, rec->turn) != NULL ||
-	    (t = calloc(1, sizeof(*t))) == NULL) {
+	if (t != NULL)
+		refresh(h, t, retention);
+	if (t != NULL || (t = calloc(1, sizeof(*t))) == NULL) {
 		mu__turn_record__free_unpacked(rec, NULL);
 		return;
 	}
@@ -144,6 +157,16 @@
 	evict(h);
 }
 
+bool
+mu_history_refresh(struct mu_history *h, const char *turn, mu_us retention)
+{
+	struct cached_turn *t = find_turn(h, turn);
+
+	if (t != NULL)
+		refresh(h, t, retention);
+	return t != NULL;
+}
+
 bool
 mu_history_chain_cached(struct mu_history *h, const char *turn)
 {
--- a/src/history.h
+++ b/src/history.h
@@ -27,7 +27,8 @@
     struct mu_reaper *reaper, size_t max_bytes);
 void mu_history_free(struct mu_history *h);
 
-/* Caches rec in memory for the retention time.  Takes ownership of rec. */
+/* Caches rec in memory for the retention time, from now also if it is cached
+ * already.  Takes ownership of rec. */
 void mu_history_cache_put(
     struct mu_history *h, Mu__TurnRecord *rec, mu_us retention);
 /* The cached record of a turn, or NULL. */
--- a/src/history_private.h
+++ b/src/history_private.h
@@ -48,6 +48,11 @@
 /* Whether the partition failed recently while others answered. */
 bool mu_history_partition_suspect(struct mu_history_partition *p);
 
+/* Keeps a cached turn for the retention time from now; false if it is not
+ * cached. */
+bool
+mu_history_refresh(struct mu_history *h, const char *turn, mu_us retention);
+
 /* historywrite.c */
 void mu_history_write_init(struct mu_history *h);
 void mu_history_write_fini(struct mu_history *h);
--- a/src/historyread.c
+++ b/src/historyread.c
@@ -79,14 +79,15 @@
 	free(f);
 }
 
-/* Reads the ancestors of rec that are not cached. */
+/* Reads the ancestors of rec that are not cached.  The others must not be
+ * evicted while these are read. */
 static void
 read_ancestors(struct fetch *f, const Mu__TurnRecord *rec)
 {
 	size_t i;
 
 	for (i = 0; i < rec->n_ancestors; i++)
-		if (mu_history_find(f->h, rec->ancestors[i]) == NULL)
+		if (!mu_history_refresh(f->h, rec->ancestors[i], f->retention))
 			read_turn(f, rec->ancestors[i], false);
 }
 
@@ -241,7 +242,9 @@
 	f->arg = arg;
 	if (rec == NULL)
 		read_turn(f, turn, true);
-	else
+	else {
+		(void)mu_history_refresh(h, turn, retention);
 		read_ancestors(f, rec);
+	}
 	fetch_finish_if_done(f);
 }
--- a/test/test_history.c
+++ b/test/test_history.c
@@ -241,6 +241,51 @@
 	mu__turn_record__free_unpacked(r, NULL);
 }
 
+/* Guards against a history that is refused although the store has all of it:
+ * the cached part of a chain had expired and was evicted by the turns read. */
+static void
+test_rest_of_an_expired_chain_is_read(void **state)
+{
+	struct fixture *f = *state;
+	Mu__TurnRecord *r[4] = {0};
+	struct mu_buf text = {0};
+	char turn[16];
+	int i;
+
+	for (i = 0; i < 4; i++) {
+		(void)snprintf(turn, sizeof(turn), "t%d", i);
+		r[i] = new_record(turn, i > 0 ? r[i - 1] : NULL, 10);
+		commit(f, r[i], MU_US_PER_S);
+		run_ms(f->loop, &f->clock, 10);
+	}
+	fetch(f, "t1", 15);
+	mu_clock_advance(&f->clock, RETENTION_US + MU_US_PER_S);
+	fetch(f, "t3", 15);
+	assert_int_equal(f->status, MU_HISTORY_OK);
+	assert_int_equal(mu_history_text(f->d[1].history, "t3", &text), 0);
+	assert_int_equal(mu_buf_len(&text), 4 * 14);
+	mu_buf_clear(&text);
+	for (i = 0; i < 4; i++)
+		mu__turn_record__free_unpacked(r[i], NULL);
+}
+
+/* Guards against a turn that is evicted soon after it was received again. */
+static void
+test_turn_received_again_is_kept_longer(void **state)
+{
+	struct fixture *f = *state;
+	struct mu_history *h = f->d[0].history;
+
+	mu_history_cache_put(h, new_record("t0", NULL, 10), RETENTION_US);
+	mu_clock_advance(&f->clock, RETENTION_US - MU_US_PER_S);
+	run_ms(f->loop, &f->clock, 1);
+	mu_history_cache_put(h, new_record("t0", NULL, 10), RETENTION_US);
+	mu_clock_advance(&f->clock, 2 * MU_US_PER_S);
+	run_ms(f->loop, &f->clock, 1);
+	mu_history_cache_put(h, new_record("t1", NULL, 10), RETENTION_US);
+	assert_non_null(mu_history_find(h, "t0"));
+}
+
 static void
 test_memory_is_bounded(void **state)
 {
@@ -376,6 +421,8 @@
 	    T(test_group_commit_under_load),
 	    T(test_commit_waits_for_the_store),
 	    T(test_rows_go_when_kept_long_enough),
+	    T(test_rest_of_an_expired_chain_is_read),
+	    T(test_turn_received_again_is_kept_longer),
 	    T(test_memory_is_bounded),
 	    T(test_part_down),
 	    T(test_two_parts_down),
