Turns: a turn that its caller resumes is run and stored whole

Ruled out: a part lost by the store or a peer; the record is read as it was written.

On a route that keeps history the endpoint now runs such a turn from its start, and only the events after the one that the caller names are forwarded. The record is therefore made of what this daemon has received whole. If that event never comes, the answer is broken off and nothing is stored. Routes without history pass the header on as before.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -244,6 +244,67 @@
 	c->last_event_at = now;
 }
 
+static const char *
+skip_zeros(const char *number)
+{
+	while (*number == '0')
+		number++;
+	return number;
+}
+
+static bool
+is_decimal(const char *id)
+{
+	return *id != '\0' && id[strspn(id, "0123456789")] == '\0';
+}
+
+enum id_order {
+	ID_BEFORE,
+	ID_SAME,
+	ID_AFTER
+};
+
+/* Ids increase if they are numbers.  Others have no order: one that differs
+ * counts as before. */
+static enum id_order
+compare_ids(const char *id, const char *with)
+{
+	size_t n, m;
+	int diff;
+
+	if (!is_decimal(id) || !is_decimal(with))
+		return strcmp(id, with) == 0 ? ID_SAME : ID_BEFORE;
+	id = skip_zeros(id);
+	with = skip_zeros(with);
+	n = strlen(id);
+	m = strlen(with);
+	diff = n != m ? (n > m) - (n < m) : strcmp(id, with);
+	if (diff == 0)
+		return ID_SAME;
+	return diff < 0 ? ID_BEFORE : ID_AFTER;
+}
+
+/* Whether the caller has the event from an earlier attempt of its own. */
+static bool
+caller_has_event(struct mu_call *c)
+{
+	const char *id = c->sse.id.len > 0 ? c->sse.id.p : "";
+
+	if (c->resume_after == NULL)
+		return false;
+	switch (compare_ids(id, c->resume_after)) {
+	case ID_BEFORE:
+		return true;
+	case ID_SAME:
+		c->resume_after = NULL;
+		return true;
+	case ID_AFTER:
+		c->resume_after = NULL;
+		break;
+	}
+	return false;
+}
+
 /* Forwards a complete event. */
 static int
 on_event(void *arg, const char *data, size_t len)
@@ -257,7 +318,8 @@
 		return MU_E_BUDGET;
 	}
 	record_event_interval(c);
-	mu_in_stream_write(c->in, mu_buf_data(&c->answer), n);
+	if (!caller_has_event(c))
+		mu_in_stream_write(c->in, mu_buf_data(&c->answer), n);
 	mu_buf_consume(&c->answer, n);
 	c->event_start = c->sse.bytes_fed;
 	c->events++;
--- a/src/call.c
+++ b/src/call.c
@@ -10,7 +10,9 @@
  * if that endpoint reports that it did not run it.  Each attempt of a caller
  * has its own id, so no other daemon has to be consulted.  A resumable stream
  * continues after its last complete event: at the same endpoint, or at another
- * one if that cannot be reached.
+ * one if that cannot be reached.  A turn with history that its caller resumes
+ * runs from its start, as its record needs all of the output; the events that
+ * the caller has are not forwarded again.
  *
  * A request that was not sent, or that every endpoint refused, is answered with
  * 503, which guarantees that it has not run.  If its answer was incomplete the
@@ -264,6 +266,10 @@
 		mu_call_attempt_aborted(c, "stream_ends_in_event");
 		return;
 	}
+	if (c->streaming && c->resume_after != NULL) {
+		mu_call_end_with_error(c, 502, 0, "resumed_event_not_found");
+		return;
+	}
 	mu_crashes_completed(&c->s->crashes, c->fingerprint);
 	if (c->streaming && c->route->keeps_history)
 		mu_call_commit_turn(c);
@@ -401,8 +407,14 @@
 		return;
 	if (c->route->kind != MU_ROUTE_STREAM)
 		c->req.has_budget = false;
-	if (!c->route->keeps_history)
+	if (!c->route->keeps_history) {
 		c->req.previous = NULL;
+	} else {
+		/* The turn's record needs the events that the caller has, too:
+		 * the endpoint runs it from its start. */
+		c->resume_after = c->req.last_event;
+		c->req.last_event = NULL;
+	}
 	if (!mu_call_identify(c))
 		return;
 	set_deadline(c);
--- a/src/call_private.h
+++ b/src/call_private.h
@@ -99,10 +99,13 @@
 	struct mu_sse sse;
 	size_t event_start; /* sse.fed at the start of answer */
 	mu_us last_event_at; /* time of this attempt's last event; 0: none */
-	uint64_t events; /* forwarded */
+	uint64_t events; /* received */
 	bool reservation_exceeded; /* the next event exceeds the reservation */
 	struct mu_buf output; /* data of the events, for the turn's record */
-	char last_event_id[64]; /* of the last event forwarded */
+	char last_event_id[64]; /* of the last event received */
+	/* Id of the last event that the caller has: those up to it are not
+	 * forwarded.  NULL: none, or passed. */
+	const char *resume_after;
 	const char *reason; /* of the final answer, for the log */
 };
 
