History: a record that the store's limit cut is not used

A read of a record's rows that ends with a field of the record unpacks, so that a turn without its output would be continued.

The read now counts as unreadable, as one that does not unpack: the other candidates are read, and the turn is refused with 503 if none has it.

Before: test_history test_record_cut_between_fields_is_not_used gets the record as found.

--- a/src/historyread.c
+++ b/src/historyread.c
@@ -48,7 +48,8 @@
 static void read_turn(struct fetch *f, const char *turn, bool is_newest);
 
 /* Joins the chunks in a turn's rows and unpacks the record; NULL when there is
- * no row or the record is malformed. */
+ * no row, or the record is malformed or was cut by the store's limit: what is
+ * left of it may unpack. */
 static Mu__TurnRecord *
 join_rows(const Mu__StoreResult *r, const char *turn)
 {
@@ -56,6 +57,8 @@
 	Mu__TurnRecord *rec = NULL;
 	size_t i, n = strlen(turn);
 
+	if (r->more)
+		return NULL;
 	for (i = 0; i < r->n_rows; i++)
 		if (strncmp(r->rows[i]->key, turn, n) == 0 &&
 		    (r->rows[i]->key[n] == '\0' || r->rows[i]->key[n] == '/') &&
@@ -164,8 +167,8 @@
 			q->nabsent++;
 		else
 			mu_log(MU_LOG_ERROR, "history", "record_unreadable",
-			    "{s:s,s:I}", "turn", mu_scope_plain(q->turn),
-			    "rows", (json_int_t)r->n_rows);
+			    "{s:s,s:I,s:b}", "turn", mu_scope_plain(q->turn),
+			    "rows", (json_int_t)r->n_rows, "cut", (int)r->more);
 	}
 	if (!q->finished)
 		read_remaining_candidates(q);
--- a/test/test_history.c
+++ b/test/test_history.c
@@ -179,6 +179,28 @@
 	mu__turn_record__free_unpacked(r, NULL);
 }
 
+/* Guards against a record without its output: the store's answer was cut after
+ * a row that ends with a field of the record. */
+static void
+test_record_cut_between_fields_is_not_used(void **state)
+{
+	/* The key and the length of both fields before it take 8 bytes. */
+	const size_t input = 48 * 1024 - 8;
+	struct fixture *f = *state;
+	Mu__TurnRecord *r = new_record("tC", NULL, input);
+
+	commit(f, r, MU_US_PER_S);
+	run_ms(f->loop, &f->clock, 20);
+	assert_int_equal(f->mem->nrows, 2);
+	f->mem->page = 1;
+	fetch(f, "tC", 1100);
+	assert_int_equal(f->status, MU_HISTORY_UNAVAILABLE);
+	f->mem->page = 0;
+	fetch(f, "tC", 20);
+	assert_int_equal(f->status, MU_HISTORY_OK);
+	mu__turn_record__free_unpacked(r, NULL);
+}
+
 /* Records that arrive during a partition's write are batched into the next. */
 static void
 test_group_commit_under_load(void **state)
@@ -418,6 +440,7 @@
 	    T(test_chain_read_by_another_daemon),
 	    T(test_not_found_only_when_certain),
 	    T(test_large_record_in_chunks),
+	    T(test_record_cut_between_fields_is_not_used),
 	    T(test_group_commit_under_load),
 	    T(test_commit_waits_for_the_store),
 	    T(test_rows_go_when_kept_long_enough),
