Answers: only HTTP/1 with a status from 200 to 599 reaches a caller

Here 000 was refused, as every number below 100, but the rest of the class was not: callers got 600 to 999 as the endpoint's answer, with its digest, and 0200 as 200; HTTP/2.0 in a status line and an unrequested 101 passed, and "Transfer-Encoding : gzip" hid a coded body.

Cause: http-parser bounds the number of a status but not its form, takes any version and, as Debian builds it, white space in names; libcurl takes 600 to 999. uphead.c now says for both daemons what a head may be, and everything else is malformed: 502, or a retry where that is allowed.

Before: test_upstream fails in test_status_lines_that_are_no_answer (at 0200), test_white_space_after_a_name and test_chunks_before_http_1_1_end_the_connection; test_answers and test_http in test_status_that_http_has_not. After: these and test_uphead, test_endpoint pass.

--- a/src/http.c
+++ b/src/http.c
@@ -33,6 +33,7 @@
 
 #include "http.h"
 #include "net.h"
+#include "uphead.h"
 
 #define CANCEL_POLL_INTERVAL_MS 20
 #define HEADER_MAX_BYTES ((size_t)65536) /* header and trailer */
@@ -152,9 +153,9 @@
 		return abort_transfer(c, MU_HTTP_MALFORMED);
 	if (*data != '\r' && *data != '\n')
 		return n;
-	if (!is_http1(c))
+	if (!is_http1(c) || mu_head_kind(status_of(c)) == MU_HEAD_INVALID)
 		return abort_transfer(c, MU_HTTP_MALFORMED);
-	c->header_complete = status_of(c) >= 200;
+	c->header_complete = mu_head_kind(status_of(c)) == MU_HEAD_FINAL;
 	return n;
 }
 
--- a/src/http.h
+++ b/src/http.h
@@ -47,7 +47,7 @@
 	MU_HTTP_CANCELLED,
 	MU_HTTP_ABORTED, /* on_data returned false */
 	MU_HTTP_TOO_LARGE,
-	MU_HTTP_MALFORMED, /* the answer is not HTTP/1.x */
+	MU_HTTP_MALFORMED, /* not an answer of HTTP/1.x */
 	MU_HTTP_SYSTEM /* no socket, out of memory, bad address */
 };
 
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -22,7 +22,6 @@
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -30,7 +29,7 @@
 #include "buf.h"
 #include "metric.h"
 #include "net.h"
-#include "upstream.h"
+#include "uphead.h"
 
 /* Enough for one SYN and its answer; a lost SYN is resent only after 1 s. */
 #define CONNECT_TIMEOUT_US (250 * MU_US_PER_MS)
@@ -59,9 +58,6 @@
  * skipped answers. */
 #define MAX_OVERHEAD_BYTES ((size_t)256 << 10)
 #define MAX_HEADER_BYTES 8192
-#define LOWEST_STATUS 100
-#define STATUS_NO_CONTENT 204
-#define STATUS_NOT_MODIFIED 304
 
 /* A connection and, while it is busy, the exchange that uses it. */
 struct mu_up_exchange {
@@ -73,6 +69,8 @@
 	const char *body; /* what is left of a large one; not owned */
 	size_t body_left;
 	http_parser parser;
+	bool message_begins; /* the parser was paused after its first byte */
+	struct mu_status_line status_line;
 	struct mu_up_hooks hooks;
 	bool connecting;
 	bool busy; /* an exchange is in progress */
@@ -249,6 +247,8 @@
 	x->nheaders = 0;
 	x->in_value = false;
 	mu_buf_consume(&x->header_text, mu_buf_len(&x->header_text));
+	x->message_begins = true;
+	http_parser_pause(hp, 1); /* to check the line that follows */
 	return 0;
 }
 
@@ -290,43 +290,17 @@
 	return header_text_add(x, at, len);
 }
 
-static void
-read_keep_alive(struct mu_up_exchange *x, const struct mu_header *h, size_t n)
-{
-	const char *p;
-	size_t i;
-	long s;
-
-	x->idle_limit = DEFAULT_IDLE_LIMIT_US;
-	for (i = 0; i < n; i++) {
-		if (strcasecmp(h[i].name, "Keep-Alive") != 0 ||
-		    (p = strcasestr(h[i].value, "timeout=")) == NULL)
-			continue;
-		s = strtol(p + strlen("timeout="), NULL, 10);
-		x->idle_limit = s * MU_US_PER_S - KEEPALIVE_MARGIN_US;
-	}
-}
-
-/* Ends the value at offset `at` before its trailing white space, which
+/* Ends the text at offset `at` before its trailing white space, which
  * http-parser leaves in place. */
 static const char *
-trimmed_value(struct mu_up_exchange *x, size_t at)
+trimmed_text(struct mu_up_exchange *x, size_t at)
 {
-	char *value = x->header_text.p + at;
-	size_t n = strlen(value);
+	char *text = x->header_text.p + at;
+	size_t n = strlen(text);
 
-	while (n > 0 && (value[n - 1] == ' ' || value[n - 1] == '\t'))
-		value[--n] = '\0';
-	return value;
-}
-
-/* Whether a header names a transfer coding other than chunked.  Requests ask
- * for none, and the caller would get the coded body without this header. */
-static bool
-is_other_coding(const struct mu_header *h)
-{
-	return strcasecmp(h->name, "Transfer-Encoding") == 0 &&
-	       strcasecmp(h->value, "chunked") != 0;
+	while (n > 0 && (text[n - 1] == ' ' || text[n - 1] == '\t'))
+		text[--n] = '\0';
+	return text;
 }
 
 /* What http-parser does after a head: other than in its other callbacks, 1 is
@@ -343,10 +317,38 @@
 static enum after_head
 body_follows(const struct mu_up_exchange *x, int status)
 {
-	return x->is_head || status == STATUS_NO_CONTENT ||
-		       status == STATUS_NOT_MODIFIED
-		   ? NO_BODY
-		   : HAS_BODY;
+	return x->is_head || !mu_head_has_body(status) ? NO_BODY : HAS_BODY;
+}
+
+/* Reads the fields of a final head; false if it is not valid. */
+static bool
+read_fields(struct mu_up_exchange *x, struct mu_header *headers)
+{
+	size_t i;
+
+	if (header_text_add(x, "", 1) != 0)
+		return false;
+	for (i = 0; i < x->nheaders; i++) {
+		headers[i].name = trimmed_text(x, x->name_at[i]);
+		headers[i].value = trimmed_text(x, x->value_at[i]);
+		if (mu_head_is_other_coding(&headers[i]))
+			return false;
+	}
+	return true;
+}
+
+/* Whether the head has a transfer coding, which HTTP/1.0 doesn't know: where
+ * the body ends is in doubt then. */
+static bool
+has_doubtful_framing(
+    const http_parser *hp, const struct mu_header *headers, size_t n)
+{
+	size_t i;
+
+	for (i = 0; i < n && hp->http_minor == 0; i++)
+		if (mu_head_is_coding(&headers[i]))
+			return true;
+	return false;
 }
 
 static int
@@ -357,29 +359,29 @@
 	struct mu_up_head head = {
 	    hp->status_code, x->reused, headers, x->nheaders};
 	enum mu_up_owner owner;
-	size_t i;
 
-	if (hp->status_code < LOWEST_STATUS)
+	switch (mu_head_kind(hp->status_code)) {
+	case MU_HEAD_INVALID:
 		return MALFORMED;
-	if (hp->status_code / 100 == 1)
+	case MU_HEAD_INTERIM:
 		return NO_BODY;
-	if (header_text_add(x, "", 1) != 0)
-		return MALFORMED;
-	for (i = 0; i < x->nheaders; i++) {
-		headers[i].name = x->header_text.p + x->name_at[i];
-		headers[i].value = trimmed_value(x, x->value_at[i]);
-		if (is_other_coding(&headers[i]))
-			return MALFORMED;
+	case MU_HEAD_FINAL:
+		break;
 	}
+	if (!read_fields(x, headers))
+		return MALFORMED;
 	owner = x->hooks.owner(x->hooks.arg, &head);
 	x->skipping = owner == MU_UP_FOREIGN;
-	x->last = owner == MU_UP_OWN_LAST;
+	x->last = owner == MU_UP_OWN_LAST ||
+		  has_doubtful_framing(hp, headers, x->nheaders);
 	/* Whether a foreign answer to HEAD has a body can't be known. */
 	if (x->skipping)
 		return ++x->skipped > MAX_SKIPPED_ANSWERS || x->is_head
 			   ? MALFORMED
 			   : HAS_BODY;
-	read_keep_alive(x, headers, x->nheaders);
+	x->idle_limit = mu_head_keep_alive(headers, x->nheaders,
+			    DEFAULT_IDLE_LIMIT_US + KEEPALIVE_MARGIN_US) -
+			KEEPALIVE_MARGIN_US;
 	x->answer_started = true;
 	x->hooks.head(x->hooks.arg, &head);
 	return x->cancelled ? MALFORMED : body_follows(x, hp->status_code);
@@ -449,6 +451,29 @@
 	hooks.end(hooks.arg, MU_UP_COMPLETE, true);
 }
 
+/* Runs the parser over received bytes, stopping at the start of each answer to
+ * check its status line.  Returns the number of bytes it took. */
+static size_t
+execute(struct mu_up_exchange *x, const char *data, size_t len)
+{
+	size_t n = 0;
+
+	if (!mu_status_line_check(&x->status_line, data, len))
+		return 0;
+	do {
+		x->message_begins = false;
+		n += http_parser_execute(
+		    &x->parser, &parser_settings, data + n, len - n);
+		if (!x->message_begins)
+			break;
+		http_parser_pause(&x->parser, 0);
+		mu_status_line_begin(&x->status_line);
+		if (!mu_status_line_check(&x->status_line, data + n, len - n))
+			break;
+	} while (n < len);
+	return n;
+}
+
 /* Parses received bytes, or the end of input if len is 0; false if the exchange
  * has ended. */
 static bool
@@ -458,7 +483,7 @@
 
 	x->parsing = true;
 	x->overhead_bytes += len;
-	n = http_parser_execute(&x->parser, &parser_settings, data, len);
+	n = execute(x, data, len);
 	x->parsing = false;
 	if (x->cancelled) {
 		conn_free(x);
@@ -736,6 +761,7 @@
 	x->overhead_bytes = 0;
 	x->started_at = mu_loop_now(p->loop);
 	http_parser_init(&x->parser, HTTP_RESPONSE);
+	x->status_line.place = MU_LINE_CHECKED; /* none is being read */
 	x->parser.data = x;
 	if (mu_buf_printf(&x->unsent, "%s %s HTTP/1.1\r\n%s", req->method,
 		req->target, req->headers) != 0 ||
--- a/test/test_http.c
+++ b/test/test_http.c
@@ -132,6 +132,32 @@
 	}
 }
 
+/* Guards against an answer with a status that HTTP doesn't have: it is no
+ * answer, whatever follows. */
+static void
+test_status_that_http_has_not(void **state)
+{
+	static const char *const statuses[] = {"000", "0", "099", "20", "0200",
+	    "2000", "600", "700", "999", "-200", "101", "OK", ""};
+	struct mu_http_response r;
+	char bytes[256];
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(statuses) / sizeof(statuses[0]); i++) {
+		(void)snprintf(bytes, sizeof(bytes),
+		    "HTTP/1.1 %s Name\r\nContent-Length: 2\r\n\r\n{}",
+		    statuses[i]);
+		run_step(bytes, FAKE_CLOSE, post(), &r);
+		if (r.result != MU_HTTP_MALFORMED)
+			print_message("%s: %s\n", statuses[i],
+			    mu_http_result_name(r.result));
+		assert_int_equal(r.result, MU_HTTP_MALFORMED);
+		assert_null(r.body);
+		mu_http_response_clear(&r);
+	}
+}
+
 static void
 test_interim_answer_and_retry_after(void **state)
 {
@@ -406,6 +432,7 @@
 	    cmocka_unit_test(test_never_sent_again),
 	    cmocka_unit_test(test_answer_not_whole),
 	    cmocka_unit_test(test_part_of_an_answer_is_not_whole),
+	    cmocka_unit_test(test_status_that_http_has_not),
 	    cmocka_unit_test(test_interim_answer_and_retry_after),
 	    cmocka_unit_test(test_header_is_bounded),
 	    cmocka_unit_test(test_request_as_written),
--- a/test/test_upstream.c
+++ b/test/test_upstream.c
@@ -765,6 +765,146 @@
 	assert_int_equal(f->heads, 0);
 }
 
+/* Guards against an answer that isn't one of HTTP/1 (RFC 9112, 4): its status
+ * is three digits, from 100 to 599, and 101 needs a request for it. */
+static void
+test_status_lines_that_are_no_answer(void **state)
+{
+	static const char *const lines[] = {"HTTP/1.1 000 OK", "HTTP/1.1 0 OK",
+	    "HTTP/1.1 099 OK", "HTTP/1.1 20 OK", "HTTP/1.1 0200 OK",
+	    "HTTP/1.1 00000200 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 600 Odd",
+	    "HTTP/1.1 700 Odd", "HTTP/1.1 999 Odd", "HTTP/1.1 -200 OK",
+	    "HTTP/1.1 +20 OK", "HTTP/1.1 2x0 OK", "HTTP/1.1 0x2 OK",
+	    "HTTP/1.1 OK", "HTTP/1.1", "HTTP/1.1 101 Switching Protocols",
+	    "HTTP/0.9 200 OK", "HTTP/2.0 200 OK", "HTTP/3.1 200 OK",
+	    "HTTP/2 200", "HTTP/11 200 OK", "HTTP/1.11 200 OK",
+	    "http/1.1 200 OK", "ICY 200 OK", "200 OK"};
+	struct fixture *f = *state;
+	struct kit_step s = {NULL, false, false};
+	char answer[256];
+	unsigned i;
+
+	start_endpoint(f, &s, 1);
+	s.answer = answer;
+	for (i = 0; i < sizeof(lines) / sizeof(*lines); i++) {
+		(void)snprintf(answer, sizeof(answer),
+		    "%s\r\nRequest-Id: $ID\r\nContent-Length: 2\r\n\r\nhi",
+		    lines[i]);
+		run_exchange(f);
+		if (f->outcome != MU_UP_MALFORMED)
+			print_message("%s\n", lines[i]);
+		assert_int_equal(f->outcome, MU_UP_MALFORMED);
+		assert_int_equal(f->heads, 0);
+	}
+}
+
+static int
+open_connection(const struct fixture *f)
+{
+	int i;
+
+	for (i = 0; i < KIT_MAX_CONNS; i++)
+		if (f->end->conn[i].open)
+			return f->end->conn[i].watch.fd;
+	fail_msg("no open connection");
+	return -1;
+}
+
+/* Other forms that are answers, also where a read ends within the line. */
+static void
+test_status_lines_that_are_answers(void **state)
+{
+	static const struct {
+		const char *line;
+		int status;
+	} cases[] = {{"HTTP/1.1 200", 200}, {"HTTP/1.1 200 ", 200},
+	    {"HTTP/1.0 200 OK", 200}, {"HTTP/1.1 299 Any", 299},
+	    {"HTTP/1.1 599 Any", 599}, {"HTTP/1.1 500 0200 600", 500},
+	    {"HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 418 Teapot", 418}};
+	struct fixture *f = *state;
+	struct kit_step s = {"", false, false};
+	char answer[256];
+	unsigned i, n;
+
+	start_endpoint(f, &s, 1);
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		(void)snprintf(answer, sizeof(answer),
+		    "%s\r\nRequest-Id: r1\r\nContent-Length: 2\r\n\r\nhi",
+		    cases[i].line);
+		f->ends = 0;
+		assert_non_null(start_exchange(f));
+		n = f->end->requests;
+		assert_true(kit_until(f->loop, 1000, f->end->requests > n));
+		for (n = 0; answer[n] != '\0'; n++) {
+			assert_int_equal(
+			    write(open_connection(f), answer + n, 1), 1);
+			mu_loop_once(f->loop, 1);
+		}
+		assert_true(kit_until(f->loop, 1000, f->ends == 1));
+		assert_int_equal(f->outcome, MU_UP_COMPLETE);
+		assert_int_equal(f->status, cases[i].status);
+	}
+}
+
+/* Guards against a field whose name ends in white space, which the parser
+ * heeds: the caller would get it, and its coding would not be seen. */
+static void
+test_white_space_after_a_name(void **state)
+{
+	static const struct kit_step s[] = {
+	    {"HTTP/1.1 200 OK\r\nRequest-Id : $ID\r\nContent-Length: "
+	     "2\r\n\r\nhi",
+		false, false},
+	    {CUT_HEAD "Transfer-Encoding : gzip\r\n\r\nhi", true, false}};
+	struct fixture *f = *state;
+
+	start_endpoint(f, s, 2);
+	run_exchange(f);
+	assert_int_equal(f->outcome, MU_UP_COMPLETE);
+	run_exchange(f);
+	assert_int_equal(f->outcome, MU_UP_MALFORMED);
+}
+
+/* Chunks before HTTP/1.1 leave the framing in doubt (RFC 9112, 6.1). */
+static void
+test_chunks_before_http_1_1_end_the_connection(void **state)
+{
+	static const struct kit_step s[] = {
+	    {"HTTP/1.0 200 OK\r\nRequest-Id: $ID\r\nConnection: keep-alive"
+	     "\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+		false, false},
+	    {OK_KEPT, false, false}};
+	struct fixture *f = *state;
+
+	start_endpoint(f, s, 2);
+	run_exchange(f);
+	assert_int_equal(f->outcome, MU_UP_COMPLETE);
+	run_exchange(f);
+	assert_int_equal(f->end->accepted, 2);
+}
+
+/* Guards against an overflow: the time may have any number of digits. */
+static void
+test_keep_alive_of_any_length(void **state)
+{
+	static const struct kit_step s[] = {
+	    {"HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nContent-Length: 2\r\n"
+	     "Keep-Alive: timeout=99999999999999\r\n\r\nhi",
+		false, false},
+	    {"HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nContent-Length: 2\r\n"
+	     "Keep-Alive: timeout=-9223372036854775808\r\n\r\nhi",
+		false, false},
+	    {OK_KEPT, false, false}};
+	struct fixture *f = *state;
+
+	start_endpoint(f, s, 3);
+	run_exchange(f);
+	assert_int_equal(f->pool->nidle, 1);
+	run_exchange(f);
+	assert_int_equal(f->end->accepted, 1);
+	assert_int_equal(f->pool->nidle, 0);
+}
+
 /* Guards against an answer taken for a foreign one: white space after a value
  * is no part of it. */
 static void
@@ -838,6 +978,11 @@
 	    T(test_interim_answer_has_no_body),
 	    T(test_answers_without_a_body),
 	    T(test_status_below_100),
+	    T(test_status_lines_that_are_no_answer),
+	    T(test_status_lines_that_are_answers),
+	    T(test_white_space_after_a_name),
+	    T(test_chunks_before_http_1_1_end_the_connection),
+	    T(test_keep_alive_of_any_length),
 	    T(test_white_space_after_a_value),
 	    T(test_other_transfer_codings),
 	    T(test_part_of_an_answer_is_not_whole),
