Answers: what streams hold counts and finds room, or waits for it

The output kept for a turn's record grew until the deadline.

A turn whose output is too long for a record ends at that event, and the body of a refusal is given up after 64 KiB instead of at the deadline.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -19,6 +19,7 @@
 /* Bounds a buffered answer and a single event: an endpoint may send endless
  * data, and a small host has memory for some tens of these. */
 #define MAX_BUFFERED_BYTES ((size_t)2 << 20)
+#define MAX_REFUSAL_BYTES ((size_t)64 << 10) /* the body is not used */
 #define FULL_BACKOFF_US (50 * MU_US_PER_MS) /* after a refusal */
 /* The first byte is overdue after this multiple of its smoothed average time,
  * and not before the minimum. */
@@ -47,6 +48,7 @@
 	x->sent--;
 	mu_timer_clear(c->s->loop, &c->overdue_timer);
 	mu_timer_clear(c->s->loop, &c->room_timer);
+	c->short_of_room = NULL;
 	if (x->listed && !(c->overdue_reported && result == MU_HEALTH_FAILURE))
 		mu_target_request_ended(&c->s->targets, x, result, took);
 	mu_target_release(&c->s->targets, x);
@@ -244,6 +246,87 @@
 	c->last_event_at = now;
 }
 
+/* Counts what is held of the answer, with room or without. */
+static void
+count_answer(struct mu_call *c)
+{
+	size_t now = c->answer.size + c->output.size + mu_sse_held(&c->sse);
+	size_t counted = c->answer_hold.bytes;
+
+	if (c->acct == NULL)
+		return;
+	if (now > counted)
+		mu_acct_force(c->acct, &c->answer_hold, now - counted,
+		    mu_loop_now(c->s->loop));
+	else
+		mu_acct_give(c->acct, &c->answer_hold, counted - now);
+}
+
+/* Takes room for the next allocation of part of the answer; false if there is
+ * none. */
+static bool
+reserve_room(struct mu_call *c, const struct mu_buf *part, size_t size)
+{
+	size_t more = size > part->size ? size - part->size : 0;
+
+	/* The parser of a stream copies the line that it reads. */
+	if (part == &c->answer && c->forwarding)
+		more *= 2;
+	return c->acct == NULL || more == 0 || size <= SMALL_ANSWER_BYTES ||
+	       mu_in_reserve(c->in, &c->answer_hold, more);
+}
+
+static void
+wait_for_room(struct mu_call *c)
+{
+	mu_timer_set(c->s->loop, &c->room_timer,
+	    mu_loop_now(c->s->loop) + ROOM_INTERVAL_US);
+}
+
+/* Reads on once there is room for the rest of the answer, as far as its size is
+ * known.  One answer at a time is read without, and counts as such until its
+ * request has ended. */
+static void
+on_room_retry(void *arg)
+{
+	struct mu_call *c = arg;
+	size_t size = 2 * c->short_of_room->size;
+	size_t most = c->short_of_room == &c->answer ? MAX_BUFFERED_BYTES
+						     : MU_HISTORY_MAX_BYTES;
+
+	if (size > most + 1)
+		size = most + 1;
+	if (!reserve_room(c, c->short_of_room, size)) {
+		if (c->s->overdraft != NULL) {
+			wait_for_room(c);
+			return;
+		}
+		c->s->overdraft = c;
+	}
+	(void)mu_buf_set_size(c->short_of_room, size);
+	c->short_of_room = NULL;
+	count_answer(c);
+	mu_up_resume(c->exchange);
+}
+
+/*
+ * Adds bytes to part of the answer.  Without room for a large one the rest is
+ * not read for now: the endpoint waits, as for a slow caller, rather than that
+ * the answer of a request that has run is lost.
+ */
+static int
+add_part(struct mu_call *c, struct mu_buf *part, const char *data, size_t len)
+{
+	size_t size = mu_buf_size_for(part, len);
+
+	if (c->s->overdraft != c && !reserve_room(c, part, size)) {
+		if (mu_buf_set_size(part, part->len + len + 1) != 0)
+			return MU_E_NOMEM;
+		c->short_of_room = part;
+	}
+	return mu_buf_add(part, data, len);
+}
+
 static const char *
 skip_zeros(const char *number)
 {
@@ -326,87 +409,25 @@
 	if (c->sse.id.len > 0)
 		(void)snprintf(c->last_event_id, sizeof(c->last_event_id), "%s",
 		    c->sse.id.p);
-	if (c->route->keeps_history &&
-	    (mu_buf_add(&c->output, data, len) != 0 ||
-		mu_buf_add(&c->output, "\n", 1) != 0))
+	if (!c->route->keeps_history)
+		return 0;
+	if (!mu_call_record_fits(c, len + 1))
+		return MU_E_TOO_LARGE;
+	if (add_part(c, &c->output, data, len) != 0 ||
+	    add_part(c, &c->output, "\n", 1) != 0)
 		return MU_E_NOMEM;
 	return 0;
 }
 
-/* Counts what is held of the answer, with room or without. */
+/* The body of a refusal is only read so that its connection can be kept. */
 static void
-count_answer(struct mu_call *c)
+skip_refusal(struct mu_call *c, size_t len)
 {
-	size_t now = c->answer.size + c->output.size;
-	size_t counted = c->answer_hold.bytes;
-
-	if (c->acct == NULL)
+	c->refusal_bytes += len;
+	if (c->refusal_bytes <= MAX_REFUSAL_BYTES)
 		return;
-	if (now > counted)
-		mu_acct_force(c->acct, &c->answer_hold, now - counted,
-		    mu_loop_now(c->s->loop));
-	else
-		mu_acct_give(c->acct, &c->answer_hold, counted - now);
-}
-
-/* Takes room for the answer's next allocation; false if there is none. */
-static bool
-reserve_answer(struct mu_call *c, size_t size)
-{
-	return c->acct == NULL || size <= c->answer.size ||
-	       size <= SMALL_ANSWER_BYTES ||
-	       mu_in_reserve(c->in, &c->answer_hold, size - c->answer.size);
-}
-
-/* Reads on once there is room for the rest of the answer, as far as its size is
- * known.  One answer at a time is read without, and counts as such until its
- * request has ended. */
-static void
-on_room_retry(void *arg)
-{
-	struct mu_call *c = arg;
-	size_t size = 2 * c->answer.size;
-
-	if (size > MAX_BUFFERED_BYTES + 1)
-		size = MAX_BUFFERED_BYTES + 1;
-	if (!reserve_answer(c, size)) {
-		if (c->s->overdraft != NULL) {
-			mu_timer_set(c->s->loop, &c->room_timer,
-			    mu_loop_now(c->s->loop) + ROOM_INTERVAL_US);
-			return;
-		}
-		c->s->overdraft = c;
-	}
-	(void)mu_buf_set_size(&c->answer, size);
-	count_answer(c);
-	mu_up_resume(c->exchange);
-}
-
-/*
- * Adds a piece of the answer.  Without room for a large one the rest is not
- * read for now: the endpoint waits, as for a slow caller, rather than that the
- * answer of a request that has run is lost.
- */
-static int
-add_answer(struct mu_call *c, const char *data, size_t len)
-{
-	size_t size = mu_buf_size_for(&c->answer, len);
-	bool room =
-	    c->forwarding || c->s->overdraft == c || reserve_answer(c, size);
-
-	if (!room && mu_buf_set_size(&c->answer, c->answer.len + len + 1) != 0)
-		return MU_E_NOMEM;
-	if (mu_buf_add(&c->answer, data, len) != 0)
-		return MU_E_NOMEM;
-	count_answer(c);
-	if (!room) {
-		mu_up_pause(c->exchange);
-		c->room_timer.fn = on_room_retry;
-		c->room_timer.arg = c;
-		mu_timer_set(c->s->loop, &c->room_timer,
-		    mu_loop_now(c->s->loop) + ROOM_INTERVAL_US);
-	}
-	return 0;
+	mu_attempt_cancel(c, MU_HEALTH_FAILURE);
+	mu_call_attempt_aborted(c, "refusal_too_large");
 }
 
 static void
@@ -414,14 +435,23 @@
 {
 	struct mu_call *c = arg;
 
-	if (c->not_run)
+	if (c->not_run) {
+		skip_refusal(c, len);
 		return;
+	}
 	if (mu_buf_len(&c->answer) + len > MAX_BUFFERED_BYTES ||
-	    add_answer(c, data, len) != 0)
+	    add_part(c, &c->answer, data, len) != 0)
 		goto fail;
+	count_answer(c);
 	if (c->forwarding && mu_sse_feed(&c->sse, data, len, on_event, c) != 0)
 		goto fail;
 	count_answer(c);
+	if (c->short_of_room == NULL)
+		return;
+	mu_up_pause(c->exchange);
+	c->room_timer.fn = on_room_retry;
+	c->room_timer.arg = c;
+	wait_for_room(c);
 	return;
 fail:
 	if (c->reservation_exceeded) {
--- a/src/call.c
+++ b/src/call.c
@@ -160,6 +160,7 @@
 {
 	c->nheaders = 0;
 	c->status = 0;
+	c->refusal_bytes = 0;
 	c->not_run = c->is_signed = c->forwarding = false;
 	mu_buf_consume(&c->answer, mu_buf_len(&c->answer));
 	mu_sse_clear(&c->sse);
--- a/src/call_private.h
+++ b/src/call_private.h
@@ -71,6 +71,8 @@
 	struct mu_acct_holder copies; /* of the request's body */
 	struct mu_acct_holder answer_hold; /* answer and output */
 	struct mu_timer room_timer; /* while the answer is not read */
+	/* Part of the answer that waits for room: answer or output. */
+	struct mu_buf *short_of_room;
 	/* The current attempt and those before it. */
 	struct mu_target *target;
 	struct mu_up_exchange *exchange;
@@ -89,6 +91,7 @@
 	/* The answer. */
 	int status;
 	bool not_run; /* the endpoint did not run the request */
+	size_t refusal_bytes; /* received of its body then */
 	bool is_signed; /* it has the endpoint's digest */
 	bool is_attributed; /* it belongs to this request for certain */
 	bool streaming; /* the caller has the head of a stream */
@@ -148,9 +151,12 @@
 /* Sets the fingerprint from what the endpoint gets. */
 void mu_call_set_fingerprint(struct mu_call *c);
 
-/* callturn.c.  As in call.c, c must not be used after the first two. */
+/* callturn.c.  As in call.c, c must not be used after those that return
+ * nothing, other than mu_call_settle(). */
 /* Continues a call that its customer's rate limit admits. */
 void mu_call_admitted(struct mu_call *c);
+/* Whether the turn's record takes n more bytes of output. */
+bool mu_call_record_fits(const struct mu_call *c, size_t n);
 /* Commits the turn's record, then sends the end of its answer. */
 void mu_call_commit_turn(struct mu_call *c);
 /* Reports at the program's home what the turn used; rec NULL: no record. */
--- a/src/callturn.c
+++ b/src/callturn.c
@@ -41,6 +41,12 @@
 	mu_home_settle(c->s->home, &c->grant, &t);
 }
 
+bool
+mu_call_record_fits(const struct mu_call *c, size_t n)
+{
+	return c->req.len + mu_buf_len(&c->output) + n <= MU_HISTORY_MAX_BYTES;
+}
+
 static Mu__TurnRecord *
 make_record(const struct mu_call *c)
 {
--- a/src/historywrite.c
+++ b/src/historywrite.c
@@ -24,9 +24,6 @@
 /* Added to a row's retention time, because later turns, written by any daemon,
  * continue it.  Bounds the length of a conversation that stays complete. */
 #define CHAIN_RETENTION_US (30 * 60 * MU_US_PER_S)
-/* Of a row; the platform accepts 64 KiB. */
-#define CHUNK_MAX_BYTES ((size_t)48 * 1024)
-#define CHUNKS_MAX 99 /* the chunk number has two digits in the key */
 #define BATCH_MAX_ROWS 100 /* limit of the platform for one write */
 /* Of one write, before base64.  A larger record is written alone. */
 #define BATCH_MAX_BYTES ((size_t)512 * 1024)
@@ -186,14 +183,15 @@
 			(void)snprintf(keys[n], sizeof(keys[n]), "%s", c->key);
 		else
 			(void)snprintf(keys[n], sizeof(keys[n]), "%s/%02u",
-			    c->key, (unsigned)(n % (CHUNKS_MAX + 1)));
+			    c->key,
+			    (unsigned)(n % (MU_HISTORY_MAX_CHUNKS + 1)));
 		rows[n].table = (char *)(uintptr_t)MU_HISTORY_TABLE;
 		rows[n].part = p->name;
 		rows[n].key = keys[n];
 		rows[n].value.data = c->value + offset;
-		rows[n].value.len = c->len - offset < CHUNK_MAX_BYTES
+		rows[n].value.len = c->len - offset < MU_HISTORY_CHUNK_BYTES
 					? c->len - offset
-					: CHUNK_MAX_BYTES;
+					: MU_HISTORY_CHUNK_BYTES;
 		offset += rows[n].value.len;
 		put[n] = &rows[n];
 		n++;
@@ -204,7 +202,9 @@
 static size_t
 chunk_count(size_t len)
 {
-	return len == 0 ? 1 : (len + CHUNK_MAX_BYTES - 1) / CHUNK_MAX_BYTES;
+	return len == 0 ? 1
+			: (len + MU_HISTORY_CHUNK_BYTES - 1) /
+			      MU_HISTORY_CHUNK_BYTES;
 }
 
 static void
@@ -301,7 +301,7 @@
 	if (c == NULL)
 		abort();
 	c->len = mu__turn_record__get_packed_size(rec);
-	if (c->len > CHUNK_MAX_BYTES * CHUNKS_MAX) {
+	if (c->len > MU_HISTORY_MAX_BYTES) {
 		mu_log(MU_LOG_ERROR, "history", "record_too_large", "{s:s,s:I}",
 		    "turn", mu_scope_plain(rec->turn), "bytes",
 		    (json_int_t)c->len);
--- a/src/sse.c
+++ b/src/sse.c
@@ -123,6 +123,12 @@
 	return rc;
 }
 
+size_t
+mu_sse_held(const struct mu_sse *s)
+{
+	return s->line.size + s->data.size + s->id.size;
+}
+
 bool
 mu_sse_at_boundary(const struct mu_sse *s)
 {
--- a/src/sse.h
+++ b/src/sse.h
@@ -33,6 +33,8 @@
  */
 int mu_sse_feed(struct mu_sse *s, const char *bytes, size_t len,
     int (*on_event)(void *arg, const char *data, size_t len), void *arg);
+/* Bytes allocated for what is being read. */
+size_t mu_sse_held(const struct mu_sse *s);
 /* Whether the input so far ends between two events: a stream that ends
  * elsewhere was broken off. */
 bool mu_sse_at_boundary(const struct mu_sse *s);
--- a/test/sockkit.h
+++ b/test/sockkit.h
@@ -62,6 +62,7 @@
 	struct mu_buf in;
 	bool open;
 	const char *endless; /* NULL: none */
+	size_t endless_bytes; /* sent */
 };
 
 struct kit_endpoint {
@@ -71,6 +72,8 @@
 	const struct kit_step *steps;
 	unsigned nsteps;
 	const char *endless; /* sent repeatedly until the peer closes */
+	size_t endless_most; /* then silence, for each connection; 0: no end */
+	size_t endless_block; /* bytes at a time; 0: as many as fit */
 	unsigned requests; /* complete requests */
 	unsigned accepted;
 	unsigned closed_by_peer; /* connections closed by the daemon */
@@ -152,6 +155,7 @@
 	if (s->close || s->reset)
 		kit_conn_close(c, s->reset);
 	c->endless = e->endless;
+	c->endless_bytes = 0;
 	if (c->open && c->endless != NULL)
 		mu_watch_set(e->loop, &c->watch, EPOLLIN | EPOLLOUT);
 }
@@ -161,16 +165,27 @@
 kit_send_endless(struct kit_conn *c)
 {
 	char data[65536];
-	size_t n = strlen(c->endless), i;
+	size_t n = strlen(c->endless), most = sizeof(data), i;
 	ssize_t sent;
 
-	for (i = 0; i + n <= sizeof(data); i += n)
+	if (c->endpoint->endless_most > 0 &&
+	    most > c->endpoint->endless_most - c->endless_bytes)
+		most = c->endpoint->endless_most - c->endless_bytes;
+	if (c->endpoint->endless_block > 0 && most > c->endpoint->endless_block)
+		most = c->endpoint->endless_block;
+	for (i = 0; i == 0 || i + n <= most; i += n)
 		memcpy(data + i, c->endless, n);
 	/* Only whole repetitions: a cut one would change what is parsed. */
 	sent = send(c->watch.fd, data, i, MSG_NOSIGNAL | MSG_DONTWAIT);
 	if (sent < 0)
 		return errno == EAGAIN;
 	c->endpoint->endless_bytes += (size_t)sent;
+	c->endless_bytes += (size_t)sent;
+	if (c->endpoint->endless_most > 0 &&
+	    c->endless_bytes >= c->endpoint->endless_most) {
+		c->endless = NULL;
+		mu_watch_set(c->endpoint->loop, &c->watch, EPOLLIN);
+	}
 	return true;
 }
 
--- a/test/test_call.c
+++ b/test/test_call.c
@@ -610,6 +610,28 @@
 	expect(f, ORDER("o2"), 2000, "HTTP/1.1 502");
 }
 
+/* Guards against a request that is held until its deadline, since the body of a
+ * refusal doesn't end. */
+static void
+test_refusal_without_end(void **state)
+{
+	static const struct kit_step s[] = {
+	    {"HTTP/1.1 503 Busy\r\nRequest-Id: $ID\r\nNot-Executed: 1\r\n"
+	     "\r\n",
+		false, false}};
+	struct fixture *f = *state;
+	struct kit_endpoint *e = add_endpoint(f, "app", s, 1);
+	mu_us started;
+
+	wait_until_ready(f);
+	e->endless = "x";
+	started = mu_now(&f->clock);
+	expect(f, ORDER("o1"), 2000, "HTTP/1.1 502");
+	/* The route's time limit is 600 ms. */
+	assert_true(mu_now(&f->clock) - started < 500 * MU_US_PER_MS);
+	assert_true(kit_until(f->loop, 500, e->closed_by_peer == 1));
+}
+
 static void
 test_unframed_stream(void **state)
 {
@@ -1872,6 +1894,7 @@
 	    T(test_resumption_that_is_refused),
 	    T(test_unframed_answers),
 	    T(test_unframed_refusal),
+	    T(test_refusal_without_end),
 	    T(test_unframed_stream),
 	    T(test_unframed_stream_that_ends_in_an_event),
 	    T(test_unframed_turn_that_ends_in_an_event),
--- a/test/test_callroom.c
+++ b/test/test_callroom.c
@@ -21,6 +21,9 @@
 #define LARGE_ANSWER_BYTES 1500000
 #define LONG_STREAM_BYTES 8000000
 #define EVENT_BYTES 4000
+#define PACED_MAX 3
+#define PACE_BYTES (10 * (size_t)EVENT_BYTES)
+#define LINE_BYTES 250000
 
 static const char config[] =
     "{\"version\":3,\"routes\":["
@@ -45,21 +48,43 @@
 	unsigned passed_on; /* requests at the endpoint */
 	size_t last_body; /* length of the last one */
 	unsigned cancelled; /* answers that the daemon did not take whole */
+	struct mu_in_req *paced[PACED_MAX]; /* at /chat/paced; NULL: ended */
+	unsigned npaced;
 };
 
 /* The endpoint answers by path. */
 
 static void
-stream_events(struct mu_in_req *r, const struct mu_header *h, size_t bytes)
+write_events(struct mu_in_req *r, size_t bytes)
 {
 	static char event[EVENT_BYTES + 1];
 	size_t n;
 
 	(void)snprintf(
 	    event, sizeof(event), "data: %0*d\n\n", EVENT_BYTES - 8, 0);
-	mu_in_stream_begin(r, 200, h, 2);
 	for (n = 0; n < bytes; n += EVENT_BYTES)
 		mu_in_stream_write(r, event, EVENT_BYTES);
+}
+
+static void
+stream_events(struct mu_in_req *r, const struct mu_header *h, size_t bytes)
+{
+	mu_in_stream_begin(r, 200, h, 2);
+	write_events(r, bytes);
+	mu_in_stream_end(r, true);
+}
+
+/* An event of one line. */
+static void
+stream_line(struct mu_in_req *r, const struct mu_header *h)
+{
+	static char line[LINE_BYTES];
+
+	memset(line, 'l', sizeof(line));
+	memcpy(line, "data: ", 6);
+	mu_in_stream_begin(r, 200, h, 2);
+	mu_in_stream_write(r, line, sizeof(line));
+	mu_in_stream_write(r, "\n\n", 2);
 	mu_in_stream_end(r, true);
 }
 
@@ -73,7 +98,13 @@
 
 	f->passed_on++;
 	f->last_body = mu_buf_len(&r->body);
-	if (strcmp(r->target, "/chat/1") == 0)
+	if (strcmp(r->target, "/chat/paced") == 0) {
+		assert_true(f->npaced < PACED_MAX);
+		f->paced[f->npaced++] = r;
+		mu_in_stream_begin(r, 200, h, 2);
+	} else if (strcmp(r->target, "/chat/line") == 0)
+		stream_line(r, h);
+	else if (strcmp(r->target, "/chat/1") == 0)
 		stream_events(r, h, 2 * EVENT_BYTES);
 	else if (strcmp(r->target, "/chat/long") == 0)
 		stream_events(r, h, LONG_STREAM_BYTES);
@@ -87,9 +118,12 @@
 on_endpoint_closed(void *arg, struct mu_in_req *r, bool ok)
 {
 	struct fixture *f = arg;
+	unsigned i;
 
-	(void)r;
 	f->cancelled += !ok;
+	for (i = 0; i < f->npaced; i++)
+		if (f->paced[i] == r)
+			f->paced[i] = NULL;
 }
 
 static void
@@ -319,6 +353,89 @@
 	assert_in_range(most, 1, ACCOUNT + 2 * MIB);
 }
 
+/* Writes events to the turns at /chat/paced, slowly enough for their callers to
+ * take them, until all callers' connections are closed or so many bytes are
+ * written to each turn.  Returns the most bytes held meanwhile. */
+static size_t
+pace_turns(struct fixture *f, struct kit_caller **c, unsigned n, size_t bytes)
+{
+	size_t written = 0, most = 0;
+	unsigned i, closed = 0;
+
+	assert_true(kit_until(f->loop, 3000, f->npaced == n));
+	for (; written < bytes && closed < n; written += PACE_BYTES) {
+		for (i = 0; i < n; i++)
+			if (f->paced[i] != NULL)
+				write_events(f->paced[i], PACE_BYTES);
+		kit_run_ms(f->loop, 5);
+		if (f->acct.total > most)
+			most = f->acct.total;
+		for (i = closed = 0; i < n; i++)
+			closed += c[i]->closed;
+	}
+	return most;
+}
+
+/* Guards against the output of a turn without end, held until its deadline: one
+ * that no record takes is given up, and nothing of it is stored. */
+static void
+test_turn_longer_than_a_record_is_given_up(void **state)
+{
+	struct fixture *f = *state;
+	unsigned rows = f->mem->nrows;
+	struct kit_caller *c = send_request(f, "/chat/paced", "t1", "", 2);
+
+	(void)pace_turns(f, &c, 1, MU_HISTORY_MAX_BYTES + MIB);
+	assert_true(c->closed);
+	assert_null(strstr(kit_caller_received(c), LAST_CHUNK));
+	assert_true(kit_until(f->loop, 3000, f->cancelled == 1));
+	assert_int_equal(f->mem->nrows, rows);
+	kit_caller_free(c);
+}
+
+/* Guards against outputs that are held without limit: beyond the account, that
+ * of one turn at a time is read. */
+static void
+test_output_without_room_is_read_later(void **state)
+{
+	struct fixture *f = *state;
+	struct kit_caller *c[PACED_MAX];
+	unsigned i;
+	size_t most;
+
+	for (i = 0; i < PACED_MAX; i++)
+		c[i] = send_request(f, "/chat/paced", "t", "", 2);
+	most = pace_turns(f, c, PACED_MAX, LONG_STREAM_BYTES);
+	for (i = 0; i < PACED_MAX; i++)
+		kit_caller_free(c[i]);
+	/* A buffer is allocated in powers of two. */
+	assert_in_range(most, 1, ACCOUNT + 8 * MIB);
+}
+
+/* Guards against an event without end that is held without room. */
+static void
+test_event_without_room_is_read_later(void **state)
+{
+	struct fixture *f = *state;
+	struct kit_caller *c;
+	size_t before;
+
+	take_room(f, 3 * MIB - 100000);
+	before = f->acct.total;
+	f->serve.overdraft = (struct mu_call *)f; /* another call reads on */
+	c = send_request(f, "/chat/line", "t1", "", 2);
+	kit_run_ms(f->loop, 300);
+	/* The buffer and the parser's copy of less than half of the line. */
+	assert_in_range(f->acct.total - before, 1, 2 * LINE_BYTES);
+	assert_false(c->closed);
+	mu_acct_give(&f->acct, &f->other, SIZE_MAX);
+	assert_true(kit_until(
+	    f->loop, 3000, strstr(kit_caller_received(c), LAST_CHUNK) != NULL));
+	assert_true(mu_buf_len(&c->in) > LINE_BYTES);
+	f->serve.overdraft = NULL;
+	kit_caller_free(c);
+}
+
 /* Guards against an endpoint that goes on with an answer which nobody reads. */
 static void
 test_unread_stream_cancels_its_attempt(void **state)
@@ -347,6 +464,9 @@
 	    T(test_turn_reserves_its_record),
 	    T(test_turn_reserves_its_text_with_history),
 	    T(test_answer_without_room_is_read_later),
+	    T(test_turn_longer_than_a_record_is_given_up),
+	    T(test_output_without_room_is_read_later),
+	    T(test_event_without_room_is_read_later),
 	    T(test_unread_stream_cancels_its_attempt),
 #undef T
 	};
