Scheduler daemon: limit what answers of endpoints hold together

The body of an endpoint's answer that isn't 200, a load report and the answer to a command may have 64 KiB, a list of cached programs 4 MiB; a report is parsed only if it is whole.

--- a/src/conf.h
+++ b/src/conf.h
@@ -33,6 +33,7 @@
 	uint32_t address_ttl_ms; /* callers may cache an address this long */
 	uint32_t max_body_bytes;
 	uint32_t body_memory_mb; /* for all bodies; 0: from the host's memory */
+	uint32_t answer_memory_mb; /* of endpoints; 0: from the host's memory */
 	uint32_t body_timeout_ms; /* for a whole body, after its head */
 	uint32_t max_connections;
 	uint32_t seq_wait_ms; /* a call waits this long for an earlier seq */
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -17,6 +17,7 @@
 #include <time.h>
 #include <unistd.h>
 
+#include "answermem.h"
 #include "clean.h"
 #include "config.h"
 #include "daemon.h"
@@ -335,6 +336,19 @@
 	c->max_connections = most;
 }
 
+/* Memory for what clients or endpoints send, from the host's memory. */
+static size_t
+default_memory(void)
+{
+	struct mu_acct_limits limits;
+	struct sysinfo host = {0};
+
+	(void)sysinfo(&host);
+	mu_acct_default_limits(
+	    (uint64_t)host.totalram * host.mem_unit, 0, &limits);
+	return limits.body_memory;
+}
+
 static int
 open_webmem(struct mu_daemon *d)
 {
@@ -342,19 +356,23 @@
 	    .body_timeout_ms = d->conf->body_timeout_ms,
 	    .limit = (size_t)d->conf->body_memory_mb << 20};
 	size_t least = (size_t)d->conf->max_body_bytes * MU_WEBMEM_MIN_BODIES;
-	struct mu_acct_limits limits;
-	struct sysinfo host = {0};
 
 	if (wc.limit == 0) {
-		(void)sysinfo(&host);
-		mu_acct_default_limits(
-		    (uint64_t)host.totalram * host.mem_unit, 0, &limits);
-		wc.limit =
-		    limits.body_memory > least ? limits.body_memory : least;
+		wc.limit = default_memory();
+		if (wc.limit < least)
+			wc.limit = least;
 	}
 	return mu_webmem_new(&d->webmem, &wc);
 }
 
+static void
+limit_answers(const struct mu_conf *c)
+{
+	size_t limit = (size_t)c->answer_memory_mb << 20;
+
+	mu_answermem_set_limit(limit > 0 ? limit : default_memory());
+}
+
 static int
 run_daemon(struct mu_daemon *d)
 {
@@ -368,6 +386,7 @@
 	sigaddset(&set, SIGINT);
 	pthread_sigmask(SIG_BLOCK, &set, NULL);
 	signal(SIGPIPE, SIG_IGN);
+	limit_answers(d->conf);
 	if ((rc = open_state(d)) != 0 || (rc = open_controllers(d)) != 0 ||
 	    (rc = open_peers(d, &e)) != 0 || (rc = start_controllers(d)) != 0 ||
 	    (rc = open_webmem(d)) != 0 ||
--- a/src/endpoint.c
+++ b/src/endpoint.c
@@ -198,6 +198,8 @@
 	case MU_HTTP_TOO_LARGE:
 	case MU_HTTP_MALFORMED:
 		return MU_E_MISMATCH;
+	case MU_HTTP_NO_ROOM:
+		return MU_E_NOMEM;
 	case MU_HTTP_COMPLETE:
 	case MU_HTTP_SYSTEM:
 		break;
@@ -343,6 +345,7 @@
 	    .body = text,
 	    .body_len = strlen(text),
 	    .max_body = RESPONSE_MAX_BYTES,
+	    .from_endpoint = true,
 	    .on_data = c->kind == MU_EP_MODEL ? on_stream_data : NULL,
 	    .cancelled = c->cancelled != NULL ? is_cancelled : NULL,
 	    .arg = s,
--- a/src/epcontrol.c
+++ b/src/epcontrol.c
@@ -11,13 +11,16 @@
 
 #include "epprivate.h"
 
-#define REPORT_MAX_BYTES ((size_t)64 << 20)
+#define ANSWER_MAX_BYTES ((size_t)64 << 10) /* of a load report or a command \
+					     */
+#define LIST_MAX_BYTES ((size_t)4 << 20) /* some ten thousand programs */
 #define TARGET_BYTES 64
 
 /* Sends one request; *doc is the parsed body of a 200 answer, else NULL. */
 static int
 send_request(const char *addr, uint32_t ms, const char *method,
-    const char *target, const char *body, json_t **doc, struct mu_error *e)
+    const char *target, const char *body, size_t max, json_t **doc,
+    struct mu_error *e)
 {
 	struct mu_http_request q = {
 	    .method = method,
@@ -27,26 +30,27 @@
 	    .body = body,
 	    .body_len = body != NULL ? strlen(body) : 0,
 	    .limits = {ms, ms, ms, ms},
-	    .max_body = REPORT_MAX_BYTES,
+	    .max_body = max,
+	    .from_endpoint = true,
 	};
 	enum mu_outcome out = MU_OUTCOME_NOT_RUN;
 	enum mu_errtype type = MU_E_OK;
 	struct mu_http_response h;
 
 	mu_http_run(&q, &h);
-	*doc = mu_http_response_json(&h);
+	*doc = NULL;
 	if (h.result != MU_HTTP_COMPLETE)
 		type = mu_ep_transport_error(&h);
 	else if (h.status != 200)
 		type = mu_ep_status_error(h.status);
+	else
+		*doc = mu_http_response_json(&h);
 	if (type != MU_E_OK) {
 		if (body != NULL && h.may_have_sent && type != MU_E_STALE_EPOCH)
 			out = MU_OUTCOME_UNKNOWN;
 		(void)mu_fail(e, type, out, h.retry_after_ms,
 		    "endpoint %s: %s %s: %s, status %d", addr, method, target,
 		    mu_http_result_name(h.result), h.status);
-		json_decref(*doc);
-		*doc = NULL;
 	}
 	mu_http_response_clear(&h);
 	return type;
@@ -85,7 +89,8 @@
 	int rc;
 
 	memset(l, 0, sizeof(*l));
-	rc = send_request(addr, timeout_ms, "GET", "/v1/load", NULL, &j, e);
+	rc = send_request(
+	    addr, timeout_ms, "GET", "/v1/load", NULL, ANSWER_MAX_BYTES, &j, e);
 	if (rc != 0)
 		return rc;
 	if (!get_count32(j, "running", &l->running) ||
@@ -145,7 +150,8 @@
 	*count = 0;
 	(void)snprintf(target, sizeof(target), "/v1/events?after=%llu",
 	    (unsigned long long)after);
-	rc = send_request(addr, timeout_ms, "GET", target, NULL, &j, e);
+	rc = send_request(
+	    addr, timeout_ms, "GET", target, NULL, LIST_MAX_BYTES, &j, e);
 	if (rc != 0)
 		return rc;
 	a = json_object_get(j, "events");
@@ -180,7 +186,8 @@
 
 	*held = NULL;
 	*count = 0;
-	rc = send_request(addr, timeout_ms, "GET", "/v1/held", NULL, &j, e);
+	rc = send_request(
+	    addr, timeout_ms, "GET", "/v1/held", NULL, LIST_MAX_BYTES, &j, e);
 	if (rc != 0)
 		return rc;
 	a = json_object_get(j, "held");
@@ -217,7 +224,8 @@
 	json_decref(doc);
 	if (text == NULL)
 		return out_of_memory(e);
-	rc = send_request(addr, ms, "POST", target, text, &answer, e);
+	rc = send_request(
+	    addr, ms, "POST", target, text, ANSWER_MAX_BYTES, &answer, e);
 	json_decref(answer);
 	free(text);
 	return rc;
--- a/src/history.h
+++ b/src/history.h
@@ -12,8 +12,8 @@
 #include "reaper.h"
 #include "store.h"
 
-#define MU_HISTORY_CHUNK_BYTES ((size_t)48 * 1024) /* platform: 64 KiB a row \
-						    */
+/* Of a row; the platform accepts 64 KiB. */
+#define MU_HISTORY_CHUNK_BYTES ((size_t)48 * 1024)
 #define MU_HISTORY_MAX_CHUNKS 99 /* the number has two digits in the key */
 /* Most bytes of an encoded record. */
 #define MU_HISTORY_MAX_BYTES (MU_HISTORY_MAX_CHUNKS * MU_HISTORY_CHUNK_BYTES)
--- a/src/http.c
+++ b/src/http.c
@@ -39,6 +39,8 @@
 #define HEADER_MAX_BYTES ((size_t)65536) /* header and trailer */
 #define LINE_MAX_BYTES 128 /* of a request header line or a URL */
 #define BODY_INITIAL_BYTES ((size_t)4096)
+/* Body of an endpoint's answer that isn't 200: the text of an error. */
+#define FAILURE_MAX_BYTES ((size_t)65536)
 #define RETRY_AFTER_MAX_S 3600
 /* 25 days, so that the limits enforced here expire first. */
 #define CURL_CONNECT_TIMEOUT_MS 0x7fffffffL
@@ -184,10 +186,17 @@
 static enum mu_http_result
 deliver_body(struct conn *c, const char *data, size_t len)
 {
-	if (len > c->q->max_body - c->body_received)
+	bool failed = status_of(c) != 200;
+	size_t most = c->q->max_body;
+
+	if (c->q->from_endpoint && failed && most > FAILURE_MAX_BYTES)
+		most = FAILURE_MAX_BYTES;
+	if (len > most - c->body_received)
 		return MU_HTTP_TOO_LARGE;
 	c->body_received += len;
-	if (c->q->on_data == NULL || status_of(c) != 200)
+	if (c->q->from_endpoint && !mu_answermem_add(&c->r->mem, len))
+		return MU_HTTP_NO_ROOM;
+	if (c->q->on_data == NULL || failed)
 		return append_body(c, data, len);
 	if (!c->q->on_data(c->q->arg, data, len))
 		return MU_HTTP_ABORTED;
@@ -458,6 +467,7 @@
 	struct conn c = {.q = q, .r = r, .phase = CONNECTING};
 
 	memset(r, 0, sizeof(*r));
+	mu_answermem_init(&r->mem, q->addr);
 	c.start = mu_net_now();
 	c.last_progress = c.start;
 	c.total_deadline = c.start + (mu_us)q->limits.total_ms * MU_US_PER_MS;
@@ -471,6 +481,7 @@
 	free(r->body);
 	r->body = NULL;
 	r->body_len = 0;
+	mu_answermem_release(&r->mem);
 }
 
 const char *
@@ -491,6 +502,8 @@
 		return "stopped by the reader";
 	case MU_HTTP_TOO_LARGE:
 		return "answer too large";
+	case MU_HTTP_NO_ROOM:
+		return "no room for the answer";
 	case MU_HTTP_MALFORMED:
 		return "answer malformed";
 	case MU_HTTP_SYSTEM:
--- a/src/http.h
+++ b/src/http.h
@@ -9,7 +9,7 @@
 
 #include <jansson.h>
 
-#include "musher.h"
+#include "answermem.h"
 
 /* All in ms; 0 expires immediately, there is no value for "no limit". */
 struct mu_http_limits {
@@ -28,6 +28,9 @@
 	size_t body_len;
 	struct mu_http_limits limits;
 	size_t max_body; /* largest accepted body of the answer */
+	/* The answer of an endpoint: counts in answermem.h, and the body of one
+	 * that isn't 200 has a small limit. */
+	bool from_endpoint;
 	/*
 	 * Receives the body of a 200 answer as it arrives; false aborts the
 	 * transfer.  If NULL, and for every other status, the body is stored
@@ -47,6 +50,7 @@
 	MU_HTTP_CANCELLED,
 	MU_HTTP_ABORTED, /* on_data returned false */
 	MU_HTTP_TOO_LARGE,
+	MU_HTTP_NO_ROOM, /* too many large answers at a time */
 	MU_HTTP_MALFORMED, /* not an answer of HTTP/1.x */
 	MU_HTTP_SYSTEM /* no socket, out of memory, bad address */
 };
@@ -57,6 +61,7 @@
 	int status; /* 0: no status line received */
 	char *body; /* NUL-terminated; NULL when nothing was stored */
 	size_t body_len;
+	struct mu_answermem mem; /* until the response is cleared */
 	uint32_t retry_after_ms; /* from Retry-After; 0: none */
 	mu_us time_to_first_byte; /* from the start; 0: no byte received */
 	mu_us took;
--- a/src/metric.h
+++ b/src/metric.h
@@ -49,6 +49,8 @@
 	X(OVERDUE, "answers_overdue_total", "answers overdue by far") \
 	X(ANSWERS_NO_ROOM, "answers_refused_no_room_total", \
 	    "answers without room in the account") \
+	X(RECEIVED_NO_ROOM, "received_no_room_total", \
+	    "answers of endpoints given up for lack of room") \
 	X(LINKS_REFUSED, "links_refused_total", \
 	    "links between daemons closed over a limit") \
 	X(KEYS_REFUSED, "keys_refused_total", "requests without a valid key") \
@@ -99,6 +101,8 @@
 	X(HELD_BODY, "held_body_bytes", "held for bodies of requests") \
 	X(HELD_ANSWER, "held_answer_bytes", \
 	    "held of answers that callers have not taken") \
+	X(HELD_RECEIVED, "held_received_bytes", \
+	    "held of answers that endpoints are sending") \
 	X(HELD_PEER, "held_peer_bytes", "held of frames of other daemons") \
 	X(HELD_STORE, "held_store_bytes", "held for operations of the store") \
 	X(HELD_LIMIT, "held_limit_bytes", "limit of the bytes held")
--- a/test/test_http.c
+++ b/test/test_http.c
@@ -205,6 +205,28 @@
 	free(bytes);
 }
 
+/* Guards against an error text of any length; the limit of answers is for those
+ * that are used. */
+static void
+test_failure_of_an_endpoint_is_bounded(void **state)
+{
+	static char bytes[80000] = "HTTP/1.1 500 No\r\n\r\n";
+	struct mu_http_request q = post();
+	struct mu_http_response r;
+	size_t n = strlen(bytes);
+
+	(void)state;
+	memset(bytes + n, 'x', sizeof(bytes) - n - 1);
+	run_step(bytes, FAKE_CLOSE, q, &r);
+	assert_int_equal(r.result, MU_HTTP_COMPLETE);
+	mu_http_response_clear(&r);
+	q.from_endpoint = true;
+	run_step(bytes, FAKE_CLOSE, q, &r);
+	assert_int_equal(r.result, MU_HTTP_TOO_LARGE);
+	assert_int_equal(r.status, 500);
+	mu_http_response_clear(&r);
+}
+
 static void
 test_request_as_written(void **state)
 {
@@ -435,6 +457,7 @@
 	    cmocka_unit_test(test_status_that_http_has_not),
 	    cmocka_unit_test(test_interim_answer_and_retry_after),
 	    cmocka_unit_test(test_header_is_bounded),
+	    cmocka_unit_test(test_failure_of_an_endpoint_is_bounded),
 	    cmocka_unit_test(test_request_as_written),
 	    cmocka_unit_test(test_empty_body),
 	    cmocka_unit_test(test_trickling_server_meets_total),
