Streams: one whose last event has no id is not resumed

A resumable stream that broke off was resumed after its last event's id.

Such a stream is broken off now, as one that may not be resumed.

Before: test_call test_stream_without_ids_is_not_resumed and test_stream_with_a_long_id_is_not_resumed fail.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -117,7 +117,9 @@
 	case MU_ROUTE_NON_IDEMPOTENT:
 		return false;
 	case MU_ROUTE_STREAM:
-		return c->route->resumable;
+		/* It goes on after its last event, which must have an id. */
+		return c->route->resumable &&
+		       (c->events == 0 || c->last_event_id[0] != '\0');
 	}
 	return false;
 }
@@ -406,9 +408,9 @@
 	mu_buf_consume(&c->answer, n);
 	c->event_start = c->sse.bytes_fed;
 	c->events++;
-	if (c->sse.id.len > 0)
-		(void)snprintf(c->last_event_id, sizeof(c->last_event_id), "%s",
-		    c->sse.id.p);
+	c->last_event_id[0] = '\0'; /* also if it is too long to keep */
+	if (c->sse.id.len > 0 && c->sse.id.len < sizeof(c->last_event_id))
+		memcpy(c->last_event_id, c->sse.id.p, c->sse.id.len + 1);
 	if (!c->route->keeps_history)
 		return 0;
 	if (!mu_call_record_fits(c, len + 1))
--- a/src/call_private.h
+++ b/src/call_private.h
@@ -105,7 +105,7 @@
 	uint64_t events; /* received */
 	bool reservation_exceeded; /* the next event exceeds the reservation */
 	struct mu_buf output; /* data of the events, for the turn's record */
-	char last_event_id[64]; /* of the last event received */
+	char last_event_id[64]; /* of the last event received; empty: none */
 	/* Id of the last event that the caller has: those up to it are not
 	 * forwarded.  NULL: none, or passed. */
 	const char *resume_after;
--- a/src/epcontrol.c
+++ b/src/epcontrol.c
@@ -11,8 +11,8 @@
 
 #include "epprivate.h"
 
-#define ANSWER_MAX_BYTES ((size_t)64 << 10) /* of a load report or a command \
-					     */
+/* Of a load report, or the answer to a command. */
+#define ANSWER_MAX_BYTES ((size_t)64 << 10)
 #define LIST_MAX_BYTES ((size_t)4 << 20) /* some ten thousand programs */
 #define TARGET_BYTES 64
 
--- a/test/test_call.c
+++ b/test/test_call.c
@@ -437,6 +437,42 @@
 	kit_caller_free(c);
 }
 
+#define UNFRAMED HEAD("200 OK") "\r\n"
+
+/* Guards against events that the caller gets twice: a stream whose last event
+ * can't be named would start anew at the next endpoint. */
+static void
+check_stream_without_a_place(struct fixture *f, const char *first)
+{
+	const struct kit_step s[] = {
+	    {first, false, true}, {UNFRAMED "data: event\n\n", true, false}};
+	struct kit_endpoint *e = add_endpoint(f, "llm", s, 2);
+	struct kit_caller *c;
+
+	wait_until_ready(f);
+	c = call(f, TURN("/check/1", "c1", ""), 3000);
+	assert_true(c->closed);
+	assert_non_null(strstr(kit_caller_received(c), "data: event"));
+	assert_null(strstr(kit_caller_received(c), "\r\n0\r\n\r\n"));
+	assert_int_equal(e->requests, 1);
+	kit_caller_free(c);
+}
+
+static void
+test_stream_without_ids_is_not_resumed(void **state)
+{
+	check_stream_without_a_place(*state, UNFRAMED "data: event\n\n");
+}
+
+static void
+test_stream_with_a_long_id_is_not_resumed(void **state)
+{
+	check_stream_without_a_place(*state,
+	    UNFRAMED "id: 0123456789012345678901234567890123456789"
+		     "0123456789012345678901234567890123456789\n"
+		     "data: event\n\n");
+}
+
 #define UNSIGNED_CHUNKED \
 	"HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\n" \
 	"Transfer-Encoding: chunked\r\n\r\n"
@@ -568,8 +604,6 @@
 	check_stream_that_cannot_go_on(*state, &s, 2);
 }
 
-#define UNFRAMED HEAD("200 OK") "\r\n"
-
 /* Answers without length and chunks end with their connection. */
 static void
 test_unframed_answers(void **state)
@@ -1885,6 +1919,8 @@
 	    T(test_end_waits_for_the_commit),
 	    T(test_no_commit_no_end),
 	    T(test_stream_is_resumed),
+	    T(test_stream_without_ids_is_not_resumed),
+	    T(test_stream_with_a_long_id_is_not_resumed),
 	    T(test_unsigned_resumption_that_breaks_off),
 	    T(test_unsigned_resumption_that_ends),
 	    T(test_resumption_answered_with_a_failure),
