--- a/src/attempt.c
+++ b/src/attempt.c
@@ -329,46 +329,6 @@
 	return mu_buf_add(part, data, len);
 }
 
-static const char *
-skip_zeros(const char *number)
-{
-	while (*number == '0')
-		number++;
-	return number;
-}
-
-static bool
-is_decimal(const char *id)
-{
-	return *id != '\0' && id[strspn(id, "0123456789")] == '\0';
-}
-
-enum id_order {
-	ID_BEFORE,
-	ID_SAME,
-	ID_AFTER
-};
-
-/* Ids increase if they are numbers.  Others have no order: one that differs
- * counts as before. */
-static enum id_order
-compare_ids(const char *id, const char *with)
-{
-	size_t n, m;
-	int diff;
-
-	if (!is_decimal(id) || !is_decimal(with))
-		return strcmp(id, with) == 0 ? ID_SAME : ID_BEFORE;
-	id = skip_zeros(id);
-	with = skip_zeros(with);
-	n = strlen(id);
-	m = strlen(with);
-	diff = n != m ? (n > m) - (n < m) : strcmp(id, with);
-	if (diff == 0)
-		return ID_SAME;
-	return diff < 0 ? ID_BEFORE : ID_AFTER;
-}
-
 /* Whether the caller has the event from an earlier attempt of its own. */
 static bool
 caller_has_event(struct mu_call *c)
@@ -377,13 +337,13 @@
 
 	if (c->resume_after == NULL)
 		return false;
-	switch (compare_ids(id, c->resume_after)) {
-	case ID_BEFORE:
+	switch (mu_sse_compare_ids(id, c->resume_after)) {
+	case MU_SSE_BEFORE:
 		return true;
-	case ID_SAME:
+	case MU_SSE_SAME:
 		c->resume_after = NULL;
 		return true;
-	case ID_AFTER:
+	case MU_SSE_AFTER:
 		c->resume_after = NULL;
 		break;
 	}
@@ -444,7 +404,6 @@
 	if (mu_buf_len(&c->answer) + len > MAX_BUFFERED_BYTES ||
 	    add_part(c, &c->answer, data, len) != 0)
 		goto fail;
-	count_answer(c);
 	if (c->forwarding && mu_sse_feed(&c->sse, data, len, on_event, c) != 0)
 		goto fail;
 	count_answer(c);
--- a/src/history_private.h
+++ b/src/history_private.h
@@ -32,7 +32,8 @@
 	struct mu_loop *loop;
 	struct mu_store *store;
 	struct mu_hmap turns; /* struct cached_turn */
-	struct cds_list_head by_age; /* struct cached_turn, oldest first */
+	/* struct cached_turn, from the one added or refreshed longest ago */
+	struct cds_list_head by_age;
 	size_t bytes; /* of the cached turns */
 	size_t max_bytes;
 	struct mu_history_partition partitions[MU_HISTORY_PARTITIONS];
--- a/src/historyread.c
+++ b/src/historyread.c
@@ -243,9 +243,9 @@
 	f->deadline = deadline;
 	f->fn = fn;
 	f->arg = arg;
-	if (rec == NULL)
+	if (rec == NULL) {
 		read_turn(f, turn, true);
-	else {
+	} else {
 		(void)mu_history_refresh(h, turn, retention);
 		read_ancestors(f, rec);
 	}
--- a/src/sse.c
+++ b/src/sse.c
@@ -181,3 +181,35 @@
 	}
 	return 0;
 }
+
+static const char *
+skip_zeros(const char *number)
+{
+	while (*number == '0')
+		number++;
+	return number;
+}
+
+static bool
+is_decimal(const char *id)
+{
+	return *id != '\0' && id[strspn(id, "0123456789")] == '\0';
+}
+
+enum mu_sse_order
+mu_sse_compare_ids(const char *id, const char *with)
+{
+	size_t n, m;
+	int diff;
+
+	if (!is_decimal(id) || !is_decimal(with))
+		return strcmp(id, with) == 0 ? MU_SSE_SAME : MU_SSE_BEFORE;
+	id = skip_zeros(id);
+	with = skip_zeros(with);
+	n = strlen(id);
+	m = strlen(with);
+	diff = n != m ? (n > m) - (n < m) : strcmp(id, with);
+	if (diff == 0)
+		return MU_SSE_SAME;
+	return diff < 0 ? MU_SSE_BEFORE : MU_SSE_AFTER;
+}
--- a/src/sse.h
+++ b/src/sse.h
@@ -40,4 +40,15 @@
 bool mu_sse_at_boundary(const struct mu_sse *s);
 void mu_sse_clear(struct mu_sse *s);
 
+enum mu_sse_order {
+	MU_SSE_BEFORE,
+	MU_SSE_SAME,
+	MU_SSE_AFTER
+};
+
+/* Where an event stands to another one of its stream, by their ids.  Ids that
+ * are numbers increase; others have no order, and one that differs counts as
+ * before. */
+enum mu_sse_order mu_sse_compare_ids(const char *id, const char *with);
+
 #endif
--- a/test/test_call.c
+++ b/test/test_call.c
@@ -664,6 +664,9 @@
 	/* The route's time limit is 600 ms. */
 	assert_true(mu_now(&f->clock) - started < 500 * MU_US_PER_MS);
 	assert_true(kit_until(f->loop, 500, e->closed_by_peer == 1));
+	/* A lookup is sent again while the refusal is still being parsed. */
+	expect(f, GET("/look/a", "r1"), 2000, "HTTP/1.1 502");
+	assert_true(e->requests > 2);
 }
 
 static void
--- a/test/test_sse.c
+++ b/test/test_sse.c
@@ -120,6 +120,30 @@
 	}
 }
 
+/* Guards against numbers that are compared as text or overflow. */
+static void
+test_order_of_ids(void **state)
+{
+	static const struct {
+		const char *id, *with;
+		enum mu_sse_order order;
+	} cases[] = {{"9", "10", MU_SSE_BEFORE}, {"10", "9", MU_SSE_AFTER},
+	    {"7", "7", MU_SSE_SAME}, {"007", "7", MU_SSE_SAME},
+	    {"0", "00", MU_SSE_SAME}, {"0", "1", MU_SSE_BEFORE},
+	    {"99999999999999999999999", "100000000000000000000000",
+		MU_SSE_BEFORE},
+	    {"12", "21", MU_SSE_BEFORE}, {"a", "a", MU_SSE_SAME},
+	    {"b", "a", MU_SSE_BEFORE}, {"7", "a", MU_SSE_BEFORE},
+	    {"8", "7x", MU_SSE_BEFORE}, {"", "7", MU_SSE_BEFORE},
+	    {"-1", "-2", MU_SSE_BEFORE}};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++)
+		assert_int_equal(mu_sse_compare_ids(cases[i].id, cases[i].with),
+		    cases[i].order);
+}
+
 int
 main(void)
 {
@@ -128,6 +152,7 @@
 	    cmocka_unit_test(test_bounds),
 	    cmocka_unit_test(test_reader_stops),
 	    cmocka_unit_test(test_boundary),
+	    cmocka_unit_test(test_order_of_ids),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
