HTTP client: a head that leaves the body's end in doubt is malformed

libcurl takes lengths such as "2, 3" or "0x2", a length beside chunks and unknown codings as no coding. No caller of cardamomusherd got a wrong answer by that, since answers carry the request's id and their own end, but the two daemons disagreed on what an answer is. uphead.c now checks the lines of a head for libcurl; http-parser refuses the same forms. A trailer without a name was reported as a system error and is malformed.

--- a/src/http.c
+++ b/src/http.c
@@ -65,6 +65,7 @@
 	curl_off_t uploaded_bytes; /* of the body */
 	size_t header_bytes; /* received */
 	bool header_complete;
+	struct mu_head_framing framing; /* of the header being received */
 	size_t body_size; /* allocated bytes of r->body */
 	size_t body_received; /* bytes */
 	bool socket_failed;
@@ -139,6 +140,23 @@
 	return v == CURL_HTTP_VERSION_1_0 || v == CURL_HTTP_VERSION_1_1;
 }
 
+/* Whether the line may stand in a header.  libcurl takes any length and coding
+ * that it can make sense of. */
+static bool
+check_header_line(struct conn *c, const char *line, size_t n)
+{
+	static const char version[] = "HTTP/";
+
+	if (c->header_complete) /* a trailer */
+		return true;
+	if (n >= strlen(version) &&
+	    strncmp(line, version, strlen(version)) == 0) {
+		memset(&c->framing, 0, sizeof(c->framing));
+		return true;
+	}
+	return mu_head_add_line(&c->framing, line, n);
+}
+
 /* Receives one header line of the answer, including its line end. */
 static size_t
 on_header(char *data, size_t size, size_t n, void *arg)
@@ -154,7 +172,9 @@
 	if (c->header_bytes > HEADER_MAX_BYTES)
 		return abort_transfer(c, MU_HTTP_MALFORMED);
 	if (*data != '\r' && *data != '\n')
-		return n;
+		return check_header_line(c, data, n)
+			   ? n
+			   : abort_transfer(c, MU_HTTP_MALFORMED);
 	if (!is_http1(c) || mu_head_kind(status_of(c)) == MU_HEAD_INVALID)
 		return abort_transfer(c, MU_HTTP_MALFORMED);
 	c->header_complete = mu_head_kind(status_of(c)) == MU_HEAD_FINAL;
@@ -379,6 +399,7 @@
 	case CURLE_WEIRD_SERVER_REPLY:
 	case CURLE_UNSUPPORTED_PROTOCOL:
 	case CURLE_BAD_CONTENT_ENCODING:
+	case CURLE_BAD_FUNCTION_ARGUMENT: /* a trailer without a name */
 		return MU_HTTP_MALFORMED;
 	default:
 		return MU_HTTP_SYSTEM;
--- a/src/uphead.c
+++ b/src/uphead.c
@@ -12,6 +12,7 @@
 #define STATUS_NO_CONTENT 204
 #define STATUS_NOT_MODIFIED 304
 #define KEEP_ALIVE_MAX_S 3600
+#define FRAMING_LINE_BYTES 256
 
 void
 mu_status_line_begin(struct mu_status_line *l)
@@ -98,6 +99,66 @@
 	return mu_head_is_coding(h) && strcasecmp(h->value, "chunked") != 0;
 }
 
+/* Sets the parts of a line; false if it has no name. */
+static bool
+split_line(char *line, struct mu_header *h)
+{
+	char *colon = strchr(line, ':'), *value;
+	size_t n;
+
+	if (colon == NULL || colon == line)
+		return false;
+	*colon = '\0';
+	value = colon + 1 + strspn(colon + 1, " \t");
+	n = strlen(value);
+	while (n > 0 && strchr(" \t\r\n", value[n - 1]) != NULL)
+		value[--n] = '\0';
+	n = strlen(line);
+	while (n > 0 && (line[n - 1] == ' ' || line[n - 1] == '\t'))
+		line[--n] = '\0';
+	h->name = line;
+	h->value = value;
+	return true;
+}
+
+static bool
+add_length(struct mu_head_framing *f, const char *value)
+{
+	size_t n = strlen(value);
+
+	if (n == 0 || n >= sizeof(f->length) ||
+	    strspn(value, "0123456789") != n ||
+	    (f->has_length && strcmp(f->length, value) != 0))
+		return false;
+	memcpy(f->length, value, n + 1);
+	f->has_length = true;
+	return true;
+}
+
+bool
+mu_head_add_line(struct mu_head_framing *f, const char *line, size_t len)
+{
+	/* Longer ones are no length and no transfer coding. */
+	char copy[FRAMING_LINE_BYTES];
+	struct mu_header h;
+
+	if (*line == ' ' || *line == '\t')
+		return true; /* continues a field */
+	if (len >= sizeof(copy))
+		return memchr(line, ':', len) != NULL && *line != ':';
+	memcpy(copy, line, len);
+	copy[len] = '\0';
+	if (!split_line(copy, &h))
+		return false;
+	if (strcasecmp(h.name, "Content-Length") == 0 &&
+	    !add_length(f, h.value))
+		return false;
+	if (mu_head_is_other_coding(&h))
+		return false;
+	f->is_chunked = f->is_chunked || mu_head_is_coding(&h);
+	return !f->is_chunked || !f->has_length;
+}
+
 mu_us
 mu_head_keep_alive(const struct mu_header *headers, size_t n, mu_us none)
 {
--- a/src/uphead.h
+++ b/src/uphead.h
@@ -44,6 +44,16 @@
 bool mu_head_is_other_coding(const struct mu_header *h);
 /* Whether the header names a transfer coding. */
 bool mu_head_is_coding(const struct mu_header *h);
+/* What the fields read so far say about the end of the body. */
+struct mu_head_framing {
+	bool has_length;
+	bool is_chunked;
+	char length[24];
+};
+
+/* Adds a line of a head, without a status line; false if it is no field, or
+ * leaves the end of the body in doubt.  For libcurl, which doesn't check it. */
+bool mu_head_add_line(struct mu_head_framing *f, const char *line, size_t len);
 /* The time for which the endpoint keeps the connection, from Keep-Alive; none
  * if it doesn't say. */
 mu_us mu_head_keep_alive(const struct mu_header *headers, size_t n, mu_us none);
--- a/test/test_http.c
+++ b/test/test_http.c
@@ -158,6 +158,50 @@
 	}
 }
 
+/* Guards against a body whose end is in doubt (RFC 9112, 6 and 7). */
+static void
+test_framing_in_doubt(void **state)
+{
+	static const char *const heads[] = {
+	    "Content-Length: 2\r\nContent-Length: 3\r\n\r\nhi",
+	    "Content-Length: 2, 3\r\n\r\nhi", "Content-Length: +2\r\n\r\nhi",
+	    "Content-Length: -2\r\n\r\nhi", "Content-Length: 2x\r\n\r\nhi",
+	    "Content-Length: 0x2\r\n\r\nhi", "Content-Length: 2 2\r\n\r\nhi",
+	    "Content-Length: 18446744073709551618\r\n\r\nhi",
+	    "Transfer-Encoding: chunked\r\nContent-Length: 12\r\n\r\n"
+	    "2\r\nhi\r\n0\r\n\r\n",
+	    "Content-Length: 12\r\nTransfer-Encoding: chunked\r\n\r\n"
+	    "2\r\nhi\r\n0\r\n\r\n",
+	    "Transfer-Encoding: chunked, chunked\r\n\r\n"
+	    "2\r\nhi\r\n0\r\n\r\n",
+	    "Transfer-Encoding: identity\r\n\r\nhi",
+	    "Transfer-Encoding: \r\n\r\nhi",
+	    "Transfer-Encoding: xchunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+	    "Transfer-Encoding: chunked\r\n\r\n-2\r\nhi\r\n0\r\n\r\n",
+	    "Transfer-Encoding: chunked\r\n\r\n0x2\r\nhi\r\n0\r\n\r\n",
+	    "Transfer-Encoding: chunked\r\n\r\n"
+	    "10000000000000002\r\nhi\r\n0\r\n\r\n",
+	    "Transfer-Encoding: chunked\r\n\r\n2\r\nhix\r\n0\r\n\r\n",
+	    "Transfer-Encoding: chunked\r\n\r\n\r\nhi\r\n0\r\n\r\n",
+	    "X\r\nContent-Length: 2\r\n\r\nhi",
+	    ": x\r\nContent-Length: 2\r\n\r\nhi"};
+	struct mu_http_response r;
+	char bytes[256];
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(heads) / sizeof(heads[0]); i++) {
+		(void)snprintf(
+		    bytes, sizeof(bytes), "HTTP/1.1 200 OK\r\n%s", heads[i]);
+		run_step(bytes, FAKE_CLOSE, post(), &r);
+		if (r.result != MU_HTTP_MALFORMED &&
+		    r.result != MU_HTTP_TOO_LARGE)
+			fail_msg(
+			    "%s: %s", heads[i], mu_http_result_name(r.result));
+		mu_http_response_clear(&r);
+	}
+}
+
 static void
 test_interim_answer_and_retry_after(void **state)
 {
@@ -455,6 +499,7 @@
 	    cmocka_unit_test(test_answer_not_whole),
 	    cmocka_unit_test(test_part_of_an_answer_is_not_whole),
 	    cmocka_unit_test(test_status_that_http_has_not),
+	    cmocka_unit_test(test_framing_in_doubt),
 	    cmocka_unit_test(test_interim_answer_and_retry_after),
 	    cmocka_unit_test(test_header_is_bounded),
 	    cmocka_unit_test(test_failure_of_an_endpoint_is_bounded),
