--- a/test/fault/crowdkit.h
+++ b/test/fault/crowdkit.h
@@ -252,24 +252,6 @@
 	       proc_alive(t.daemon);
 }
 
-/* Peak of resident memory, in KiB. */
-static inline long
-peak_kb(void)
-{
-	char path[64], line[128];
-	long kb = -1;
-	FILE *f;
-
-	(void)snprintf(
-	    path, sizeof(path), "/proc/%d/status", (int)t.daemon->pid);
-	f = fopen(path, "re");
-	assert_non_null(f);
-	while (kb < 0 && fgets(line, sizeof(line), f) != NULL)
-		(void)sscanf(line, "VmHWM: %ld", &kb);
-	(void)fclose(f);
-	return kb;
-}
-
 static inline void
 count_descriptors(void)
 {
@@ -308,7 +290,7 @@
 	for (i = 0; i < START_TRIES && !start_daemon(); i++)
 		proc_kill(t.daemon);
 	assert_true(i < START_TRIES);
-	t.before_kb = peak_kb();
+	t.before_kb = proc_status_kb(t.daemon, "VmHWM");
 	return 0;
 }
 
@@ -564,7 +546,7 @@
 		open += !t.client[i].closed;
 	answered = ordinary_request_is_answered();
 	assert_true(proc_alive(t.daemon));
-	grown_kb = peak_kb() - t.before_kb;
+	grown_kb = proc_status_kb(t.daemon, "VmHWM") - t.before_kb;
 	print_message("%s: %ld of %d MiB, %u of %d descriptors, %u of %u "
 		      "connections left, %u passed on, ordinary request %s\n",
 	    name, grown_kb / 1024, MEMORY_BOUND_MB, t.most_descriptors,
--- a/test/fault/fault_crowd_sched.c
+++ b/test/fault/fault_crowd_sched.c
@@ -121,23 +121,6 @@
  * The daemon's memory and descriptors.
  */
 
-static long
-status_kb(pid_t pid, const char *key)
-{
-	char path[64], line[256];
-	long kb = -1;
-	FILE *f;
-
-	(void)snprintf(path, sizeof(path), "/proc/%d/status", (int)pid);
-	f = fopen(path, "r");
-	assert_non_null(f);
-	while (kb < 0 && fgets(line, sizeof(line), f) != NULL)
-		if (strncmp(line, key, strlen(key)) == 0)
-			kb = strtol(line + strlen(key) + 1, NULL, 10);
-	(void)fclose(f);
-	return kb;
-}
-
 static void
 count_descriptors(const struct unit *d, struct usage *u)
 {
@@ -164,7 +147,7 @@
 	if (!proc_alive(d->proc))
 		fail_msg("%s: the daemon has ended", name);
 	count_descriptors(d, u);
-	peak = status_kb(d->proc->pid, "VmHWM");
+	peak = proc_status_kb(d->proc, "VmHWM");
 	bound = u->resident_before_kb + ACCOUNT_MB * 1024L + REST_KB;
 	print_message("%s: peak %ld kB of %ld, %ld descriptors of %d\n", name,
 	    peak, bound, u->descriptors, MAX_DESCRIPTORS);
@@ -288,7 +271,7 @@
 {
 	struct usage u = {0};
 
-	u.resident_before_kb = status_kb(d->proc->pid, "VmRSS");
+	u.resident_before_kb = proc_status_kb(d->proc, "VmRSS");
 	crowd_open(addr, n, reused);
 	crowd_send(d, &u);
 	assert_within_bounds(d, &u, name);
@@ -525,7 +508,7 @@
 
 	(void)state;
 	c = start();
-	u.resident_before_kb = status_kb(c->daemon[0].proc->pid, "VmRSS");
+	u.resident_before_kb = proc_status_kb(c->daemon[0].proc, "VmRSS");
 	data_unfinished_head();
 	crowd_open(c->daemon[0].addr, CROWD_MAX, false);
 	crowd.len = 1000;
@@ -653,7 +636,7 @@
 	c = start();
 	links_usage.descriptors = 0;
 	links_usage.resident_before_kb =
-	    status_kb(c->daemon[0].proc->pid, "VmRSS");
+	    proc_status_kb(c->daemon[0].proc, "VmRSS");
 	crowd_open(c->daemon[0].peer, CROWD_MAX, false);
 	proc_until("end of links without name", strangers_are_closed, c);
 	assert_within_bounds(&c->daemon[0], &links_usage, "links without name");
--- a/test/fault/fault_flood_sched.c
+++ b/test/fault/fault_flood_sched.c
@@ -311,23 +311,6 @@
 	return c;
 }
 
-static long
-peak_kb(const struct unit *d)
-{
-	char path[64], line[256];
-	long kb = -1;
-	FILE *f;
-
-	(void)snprintf(
-	    path, sizeof(path), "/proc/%d/status", (int)d->proc->pid);
-	f = fopen(path, "re");
-	assert_non_null(f);
-	while (kb < 0 && fgets(line, sizeof(line), f) != NULL)
-		(void)sscanf(line, "VmHWM: %ld", &kb);
-	(void)fclose(f);
-	return kb;
-}
-
 static void
 start_call(struct caller *k, struct cluster *c, bool model)
 {
@@ -373,7 +356,7 @@
 	struct cluster *c = start();
 	struct unit *d = &c->daemon[0];
 	bool model = f->flooded != FLOOD_PLAIN_CALLS;
-	long before = peak_kb(d), grown;
+	long before = proc_status_kb(d->proc, "VmHWM"), grown;
 
 	server_start(model ? &c->engine[0] : &c->service[0], f);
 	if (f->flooded == FLOOD_REPORTS)
@@ -383,7 +366,7 @@
 	if (!proc_alive(d->proc))
 		fail_msg("%s: the daemon has ended", f->name);
 	assert_other_service_answers(c, !model);
-	grown = peak_kb(d) - before;
+	grown = proc_status_kb(d->proc, "VmHWM") - before;
 	print_message("%s: %ld of %ld MiB, %u floods\n", f->name, grown / 1024,
 	    bound / 1024, server.floods);
 	proc_kill(d->proc);
--- a/test/fault/proc.c
+++ b/test/fault/proc.c
@@ -126,6 +126,24 @@
 		fclose(f);
 }
 
+long
+proc_status_kb(const struct proc *p, const char *key)
+{
+	char path[64], line[256];
+	size_t n = strlen(key);
+	long kb = -1;
+	FILE *f;
+
+	(void)snprintf(path, sizeof(path), "/proc/%d/status", (int)p->pid);
+	f = fopen(path, "re");
+	assert_non_null(f);
+	while (kb < 0 && fgets(line, sizeof(line), f) != NULL)
+		if (strncmp(line, key, n) == 0 && line[n] == ':')
+			kb = strtol(line + n + 1, NULL, 10);
+	(void)fclose(f);
+	return kb;
+}
+
 bool
 proc_logged(const struct proc *p, const char *text)
 {
--- a/test/fault/proc.h
+++ b/test/fault/proc.h
@@ -64,6 +64,9 @@
 void proc_resume(const struct proc *p);
 /* Whether the process is running; reaps it if it has exited. */
 bool proc_alive(struct proc *p);
+/* A figure in kB of the process's status, such as "VmHWM"; -1: there is none.
+ */
+long proc_status_kb(const struct proc *p, const char *key);
 /* Whether the process has logged the text since its last start. */
 bool proc_logged(const struct proc *p, const char *text);
 /* Builds the path of a file in the temporary directory. */
