--- a/review/rig-3/rig.c
+++ b/review/rig-3/rig.c
@@ -176,6 +176,7 @@
 
 /* Sockets. */
 
+/* Listens on the port of addr, or on a free one if addr is empty. */
 static int
 listen_on(char *addr, size_t size)
 {
@@ -184,6 +185,8 @@
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), on = 1;
 
 	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	if (*addr != '\0')
+		sin.sin_port = htons((uint16_t)atoi(strchr(addr, ':') + 1));
 	if (fd < 0 ||
 	    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) != 0 ||
 	    bind(fd, (struct sockaddr *)&sin, sizeof(sin)) != 0 ||
@@ -387,17 +390,36 @@
 
 /* Servers. */
 
-struct server {
+#define CHANNELS_MAX 512
+
+struct rig_server {
 	int listener;
+	int fds[CHANNELS_MAX]; /* of open channels; 0: none; guarded by lock */
+	bool ended; /* channels are reset */
 	bool (*handle)(void *arg, int fd, struct rig_request *q);
 	void *arg;
 };
 
 struct channel {
-	struct server *s;
+	struct rig_server *s;
 	struct reader r;
 };
 
+/* Replaces fd `from` of the server's list by `to`. */
+static void
+note_channel(struct rig_server *s, int from, int to)
+{
+	int i;
+
+	pthread_mutex_lock(&rig.lock);
+	for (i = 0; i < CHANNELS_MAX; i++)
+		if (s->fds[i] == from) {
+			s->fds[i] = to;
+			break;
+		}
+	pthread_mutex_unlock(&rig.lock);
+}
+
 static void *
 serve_channel(void *arg)
 {
@@ -410,6 +432,9 @@
 		free(q.body);
 		q.body = NULL;
 	}
+	note_channel(c->s, c->r.fd, 0);
+	if (__atomic_load_n(&c->s->ended, __ATOMIC_ACQUIRE))
+		rig_reset(c->r.fd);
 	(void)close(c->r.fd);
 	free(c);
 	return NULL;
@@ -428,7 +453,7 @@
 static void *
 accept_channels(void *arg)
 {
-	struct server *s = arg;
+	struct rig_server *s = arg;
 	struct channel *c;
 	int fd, on = 1;
 
@@ -439,16 +464,17 @@
 			abort();
 		c->s = s;
 		c->r.fd = fd;
+		note_channel(s, 0, fd);
 		start_thread(serve_channel, c);
 	}
 	return NULL;
 }
 
-static void
+static struct rig_server *
 server_start(char *addr, size_t size,
     bool (*handle)(void *arg, int fd, struct rig_request *q), void *arg)
 {
-	struct server *s = calloc(1, sizeof(*s));
+	struct rig_server *s = calloc(1, sizeof(*s));
 
 	if (s == NULL)
 		abort();
@@ -456,6 +482,25 @@
 	s->handle = handle;
 	s->arg = arg;
 	start_thread(accept_channels, s);
+	return s;
+}
+
+/* Ends a server as the end of its process does; it is not freed. */
+static void
+server_end(struct rig_server *s)
+{
+	int i;
+
+	__atomic_store_n(&s->ended, true, __ATOMIC_RELEASE);
+	(void)shutdown(s->listener, SHUT_RDWR);
+	(void)close(s->listener);
+	pthread_mutex_lock(&rig.lock);
+	for (i = 0; i < CHANNELS_MAX; i++)
+		if (s->fds[i] != 0) {
+			rig_reset(s->fds[i]);
+			(void)shutdown(s->fds[i], SHUT_RDWR);
+		}
+	pthread_mutex_unlock(&rig.lock);
 }
 
 /* The store. */
@@ -799,8 +844,8 @@
 void
 rig_store_start(void)
 {
-	server_start(rig.store_addr, sizeof(rig.store_addr), on_store_request,
-	    NULL);
+	(void)server_start(rig.store_addr, sizeof(rig.store_addr),
+	    on_store_request, NULL);
 }
 
 /* Engines. */
@@ -826,8 +871,10 @@
 send_beats(void *arg)
 {
 	struct rig_engine *e = arg;
+	unsigned lifetime = e->lifetime;
 
-	while (!__atomic_load_n(&e->gone, __ATOMIC_ACQUIRE)) {
+	while (!__atomic_load_n(&e->gone, __ATOMIC_ACQUIRE) &&
+	       __atomic_load_n(&e->lifetime, __ATOMIC_ACQUIRE) == lifetime) {
 		publish(e);
 		rig_sleep(RIG_BEAT_MS);
 	}
@@ -850,6 +897,7 @@
 	const char *id = rig_find(q, "Request-Id");
 	const char *instance = rig_find(q, "Expect-Instance");
 	const char *weights = rig_find(q, "Expect-Version");
+	unsigned lifetime;
 	bool full, kept;
 
 	if (id == NULL)
@@ -867,9 +915,11 @@
 	pthread_mutex_unlock(&rig.lock);
 	if (full)
 		return refuse(fd, e, q, 503);
+	lifetime = e->lifetime;
 	kept = e->run(e, fd, q);
 	pthread_mutex_lock(&rig.lock);
-	e->running--;
+	if (e->lifetime == lifetime)
+		e->running--;
 	pthread_mutex_unlock(&rig.lock);
 	return kept;
 }
@@ -881,7 +931,9 @@
 
 	clock_gettime(CLOCK_REALTIME, &t);
 	e->born = (int64_t)t.tv_sec * 1000 + t.tv_nsec / 1000000;
-	server_start(e->addr, sizeof(e->addr), on_engine_request, e);
+	e->server =
+	    server_start(e->addr, sizeof(e->addr), on_engine_request, e);
+	e->running = 0;
 	publish(e);
 	start_thread(send_beats, e);
 	rig_note("engine %s of %s starts, weights %d", e->id, e->service,
@@ -904,6 +956,38 @@
 	rig_note("engine %s has left", e->id);
 }
 
+struct restart {
+	struct rig_engine *e;
+	long after_ms;
+};
+
+static void *
+restart_engine(void *arg)
+{
+	struct restart *r = arg;
+
+	rig_sleep(r->after_ms);
+	r->e->sequence = 0;
+	rig_engine_start(r->e);
+	free(r);
+	return NULL;
+}
+
+void
+rig_engine_crash(struct rig_engine *e, long down_ms)
+{
+	struct restart *r = calloc(1, sizeof(*r));
+
+	if (r == NULL)
+		abort();
+	rig_note("engine %s crashes", e->id);
+	__atomic_add_fetch(&e->lifetime, 1, __ATOMIC_RELEASE);
+	server_end(e->server);
+	r->e = e;
+	r->after_ms = down_ms;
+	start_thread(restart_engine, r);
+}
+
 bool
 rig_answer(int fd, const struct rig_engine *e, const struct rig_request *q,
     int status, const char *extra, const char *body)
@@ -958,6 +1042,7 @@
 static void
 free_address(char *addr, size_t size)
 {
+	*addr = '\0';
 	(void)close(listen_on(addr, size));
 }
 
--- a/review/rig-3/rig.h
+++ b/review/rig-3/rig.h
@@ -26,6 +26,8 @@
 #define RIG_BEAT_MS 1200
 #define RIG_CHUNK_TOKENS 17
 
+struct rig_server;
+
 struct rig_header {
 	char name[64];
 	char value[512];
@@ -78,12 +80,17 @@
 	bool gone;
 	int running;
 	int requests; /* that it began to run */
+	unsigned lifetime;
+	struct rig_server *server;
 };
 
 void rig_engine_start(struct rig_engine *e);
 /* A planned end: reports `draining`, serves on, is removed. */
 void rig_engine_drain(struct rig_engine *e);
 void rig_engine_remove(struct rig_engine *e);
+/* The engine's process ends at once: its channels are reset and its port
+ * refuses.  After down_ms it is back as a new lifetime under the same id. */
+void rig_engine_crash(struct rig_engine *e, long down_ms);
 
 /* Writing of answers by an engine; false if the channel is broken. */
 bool rig_write(int fd, const void *data, size_t len);
