--- a/review/rig-3/rig.c
+++ b/review/rig-3/rig.c
@@ -28,7 +28,9 @@
 #define HEAD_MAX ((size_t)64 << 10)
 #define STORE_ANSWER_US 4000
 #define FEED_ROWS_MAX 500
-#define STOP_WAIT_MS 500
+#define FIRST_PORT 11000
+#define PORTS 20000
+#define PORT_BLOCK 64 /* of one process */
 
 struct row {
 	char *table, *part, *key;
@@ -176,24 +178,45 @@
 
 /* Sockets. */
 
-/* Listens on the port of addr, or on a free one if addr is empty. */
 static int
-listen_on(char *addr, size_t size)
+listen_at(uint16_t port)
 {
 	struct sockaddr_in sin = {.sin_family = AF_INET};
-	socklen_t len = sizeof(sin);
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), on = 1;
 
 	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	if (*addr != '\0')
-		sin.sin_port = htons((uint16_t)atoi(strchr(addr, ':') + 1));
+	sin.sin_port = htons(port);
 	if (fd < 0 ||
-	    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) != 0 ||
-	    bind(fd, (struct sockaddr *)&sin, sizeof(sin)) != 0 ||
-	    listen(fd, 128) != 0 ||
-	    getsockname(fd, (struct sockaddr *)&sin, &len) != 0)
-		rig_cannot("cannot listen: %s", strerror(errno));
-	(void)snprintf(addr, size, "127.0.0.1:%u", ntohs(sin.sin_port));
+	    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) != 0)
+		rig_cannot("cannot open a socket: %s", strerror(errno));
+	if (bind(fd, (struct sockaddr *)&sin, sizeof(sin)) == 0 &&
+	    listen(fd, 128) == 0)
+		return fd;
+	(void)close(fd);
+	return -1;
+}
+
+/* Listens on the port of addr, or on a free one if addr is empty.  Free ports
+ * are taken below those that the kernel gives to clients, in a block that
+ * differs by process: others must not get them between two starts. */
+static int
+listen_on(char *addr, size_t size)
+{
+	static unsigned next;
+	unsigned tries, port = 0;
+	int fd = -1;
+
+	if (*addr != '\0')
+		fd = listen_at((uint16_t)atoi(strchr(addr, ':') + 1));
+	for (tries = 0; *addr == '\0' && fd < 0 && tries < PORTS; tries++) {
+		port = FIRST_PORT +
+		       ((unsigned)getpid() * PORT_BLOCK + next++) % PORTS;
+		fd = listen_at((uint16_t)port);
+	}
+	if (fd < 0)
+		rig_cannot("cannot listen on %s", addr);
+	if (*addr == '\0')
+		(void)snprintf(addr, size, "127.0.0.1:%u", port);
 	return fd;
 }
 
